--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+.PHONY: build run test lint bench capacity soak proto
+
+GOLANGCI_VERSION := v2.15.0
+PROTOC_GEN_VERSION := v1.36.12
+TEST_SEED := 20261204
+
+export CGO_ENABLED := 1
+
+build:
+	go build -o bin/siskinfall ./cmd/siskinfall
+	go build -o bin/standin ./cmd/standin
+
+run: build
+	./bin/siskinfall dev
+
+test: build
+	go test -race -count=1 -timeout 9m ./... -rapid.seed=$(TEST_SEED) -rapid.nofailfile || \
+		{ echo "tests failed; seed $(TEST_SEED)"; exit 1; }
+
+lint:
+	@test -z "$$(gofmt -l cmd internal)" || { echo "not formatted:"; gofmt -l cmd internal; exit 1; }
+	golangci-lint run ./...
+
+bench: build
+	go test -run '^$$' -bench . -benchtime 1s ./...
+	./bin/standin bench
+
+capacity: build
+	./bin/standin capacity --write docs/CAPACITY.md
+
+soak:
+	SISKINFALL_SOAK=1 go test -race -count=1 -timeout 60m -run 'Randomised' ./...
+
+proto:
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_VERSION)
+	protoc --go_out=. --go_opt=module=siskinfall internal/wire/encoder/wire.proto
+
+tools:
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
--- /dev/null
+++ b/cmd/siskinfall/main.go
@@ -0,0 +1,76 @@
+// Command siskinfall is a load balancer for expert-parallel model groups and
+// the services beside them.
+//
+// Exit codes: 0 success, 1 failure, 2 wrong settings, ticket or arguments,
+// 3 refused by the entry instance, 4 a ticket is not in force everywhere yet.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"siskinfall/internal/config/registrar"
+	"siskinfall/internal/operator/caller"
+	"siskinfall/internal/settings/loader"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitInvalid = 2
+	exitRefused = 3
+	exitLagging = 4
+)
+
+var errLagging = errors.New("not in force everywhere yet")
+
+type args struct {
+	Entry     *entryCmd     `arg:"subcommand:entry" help:"run an entry instance"`
+	Agent     *agentCmd     `arg:"subcommand:agent" help:"run the agent of a backend server"`
+	Dev       *devCmd       `arg:"subcommand:dev" help:"run a whole small fleet in one process"`
+	Ticket    *ticketCmd    `arg:"subcommand:ticket" help:"apply, show and list change tickets"`
+	Status    *statusCmd    `arg:"subcommand:status" help:"show instances, configuration and who lags"`
+	Report    *reportCmd    `arg:"subcommand:report" help:"reports"`
+	Explain   *explainCmd   `arg:"subcommand:explain" help:"show how a recent request was decided"`
+	Events    *eventsCmd    `arg:"subcommand:events" help:"show what the fleet did by itself"`
+	Execution *executionCmd `arg:"subcommand:execution" help:"show or settle non-idempotent work"`
+	Settings  *settingsCmd  `arg:"subcommand:settings" help:"check a settings file or print the defaults"`
+	Version   *versionCmd   `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description is printed above the help.
+func (args) Description() string {
+	return "siskinfall balances load over expert-parallel model groups."
+}
+
+// command is one subcommand.
+type command interface{ run() error }
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	cmd, ok := p.Subcommand().(command)
+	if !ok {
+		p.WriteHelp(os.Stdout)
+		os.Exit(exitInvalid)
+	}
+	if err := cmd.run(); err != nil {
+		fmt.Fprintln(os.Stderr, "siskinfall:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	switch {
+	case loader.IsInvalid(err), registrar.IsInvalidTicket(err):
+		return exitInvalid
+	case caller.IsProblem(err):
+		return exitRefused
+	case errors.Is(err, errLagging):
+		return exitLagging
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,63 @@
+// Command standin runs the stand-ins of the platform and of backend servers as
+// processes of their own, and the project's measurements.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"siskinfall/internal/standin/keeper"
+	"siskinfall/internal/standin/responder"
+)
+
+type args struct {
+	Platform *platformCmd `arg:"subcommand:platform" help:"run the stand-in platform"`
+	Backend  *backendCmd  `arg:"subcommand:backend" help:"run a stand-in backend server"`
+}
+
+// command is one subcommand.
+type command interface{ run() error }
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	cmd, ok := p.Subcommand().(command)
+	if !ok {
+		p.WriteHelp(os.Stdout)
+		os.Exit(1)
+	}
+	if err := cmd.run(); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+type platformCmd struct {
+	Listen netip.AddrPort `arg:"--listen" default:"127.0.0.1:9000"`
+}
+
+func (c *platformCmd) run() error { return serve(c.Listen, keeper.New().Handler()) }
+
+type backendCmd struct {
+	Listen     netip.AddrPort `arg:"--listen" default:"127.0.0.1:9100"`
+	TokenDelay time.Duration  `arg:"--token-delay" default:"5ms"`
+}
+
+func (c *backendCmd) run() error {
+	crash := func() { os.Exit(3) }
+	s := responder.New(responder.WithCrash(crash), responder.WithFaults(responder.Faults{TokenDelay: c.TokenDelay}))
+	return serve(c.Listen, s.Handler())
+}
+
+// readHeaderTimeout bounds the wait for a request's head.
+const readHeaderTimeout = time.Minute
+
+func serve(addr netip.AddrPort, h http.Handler) error {
+	srv := &http.Server{Addr: addr.String(), Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return srv.ListenAndServe()
+}
--- /dev/null
+++ b/internal/agent/server/answer.go
@@ -0,0 +1,149 @@
+package server
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/agent/driver"
+	"siskinfall/internal/check/asserter"
+	"siskinfall/internal/execution/guard"
+	"siskinfall/internal/wire/encoder"
+)
+
+// Sizes of answers, in bytes.
+const (
+	// chunkSize is the most data in one frame.
+	chunkSize = 32 << 10
+	// maxAnswer is the largest answer to a request that must not run twice.
+	maxAnswer = 4 << 20
+	// maxEvent is the largest server-sent event.
+	maxEvent = 1 << 20
+)
+
+// doneEvent ends a whole stream.
+const doneEvent = "data: [DONE]"
+
+var (
+	errTruncated = errors.New("stream ended without its end marker")
+	errTooLarge  = errors.New("answer is too large")
+)
+
+func (a *attempt) send(ev *encoder.RunEvent) {
+	ev.AttemptId = a.req.GetAttemptId()
+	if err := a.st.Send(ev); err != nil {
+		log.Debug("event not sent", "error", err)
+	}
+}
+
+// refuse ends the attempt without an answer.
+func (a *attempt) refuse(code, step string, execution encoder.Execution, detail string) {
+	if execution == encoder.Execution_EXECUTION_NOT_RUN {
+		err := asserter.Holds(!a.handedOver, asserter.RuleNotRun, "%s refused as not run at %s", a.req.GetAttemptId(), step)
+		if err != nil {
+			execution = encoder.Execution_EXECUTION_UNKNOWN
+		}
+	}
+	a.send(&encoder.RunEvent{Kind: &encoder.RunEvent_Refusal{Refusal: &encoder.Refusal{
+		Code: code, Step: step, Execution: execution, Detail: detail, RetryAfterMicros: a.queue.GetLoad().Service.Microseconds(),
+	}}})
+}
+
+func (a *attempt) sendHead(h *encoder.Head) {
+	a.send(&encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: h}})
+}
+
+func (a *attempt) sendChunk(data []byte) {
+	a.send(&encoder.RunEvent{Kind: &encoder.RunEvent_Chunk{Chunk: &encoder.Chunk{Offset: a.offset, Data: data}}})
+	a.offset += uint64(len(data))
+	_, _ = a.sum.Write(data)
+}
+
+func (a *attempt) sendEnd() {
+	a.send(&encoder.RunEvent{Kind: &encoder.RunEvent_End{End: &encoder.End{Length: a.offset, Checksum: a.sum.Sum64()}}})
+}
+
+// sendWhole sends an answer that is complete.
+func (a *attempt) sendWhole(answer *guard.Answer, replayed bool) {
+	a.sendHead(&encoder.Head{Status: uint32(answer.Status), Headers: answer.Headers, Replayed: replayed})
+	for rest := answer.Body; len(rest) > 0; {
+		n := min(len(rest), chunkSize)
+		a.sendChunk(rest[:n])
+		rest = rest[n:]
+	}
+	a.sendEnd()
+}
+
+// copyBody passes the answer on as it arrives, a stream by whole events.
+func (a *attempt) copyBody(answer *driver.Answer) error {
+	if answer.Stream {
+		return a.copyEvents(bufio.NewReaderSize(answer.Body, chunkSize))
+	}
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := answer.Body.Read(buf)
+		if n > 0 {
+			a.sendChunk(buf[:n])
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// copyEvents passes server-sent events on, several in a frame when they are
+// there already, and demands the end marker.
+func (a *attempt) copyEvents(r *bufio.Reader) error {
+	var event []byte
+	done := false
+	start := 0
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEvent {
+			return errTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			return endOfStream(done)
+		}
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue
+		}
+		done = bytes.HasPrefix(event[start:], []byte(doneEvent))
+		start = len(event)
+		if r.Buffered() == 0 || done || len(event) >= chunkSize {
+			a.sendChunk(event)
+			event, start = event[:0], 0
+		}
+	}
+}
+
+func endOfStream(done bool) error {
+	if done {
+		return nil
+	}
+	return errTruncated
+}
+
+func readBounded(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxAnswer {
+		return nil, errTooLarge
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/agent/server/run.go
@@ -0,0 +1,306 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/admission/queuer"
+	"siskinfall/internal/agent/driver"
+	"siskinfall/internal/check/asserter"
+	"siskinfall/internal/config/registrar"
+	"siskinfall/internal/execution/guard"
+	"siskinfall/internal/wire/connector"
+	"siskinfall/internal/wire/encoder"
+)
+
+// attempt is one attempt at a request, served by one goroutine.
+type attempt struct {
+	*Server
+	req *encoder.RunRequest
+	st  *connector.Stream
+	// handedOver is set before the first byte goes to the backend server.
+	handedOver bool
+	// offset and sum cover the bytes of the answer sent so far.
+	offset uint64
+	sum    *xxhash.Digest
+	// release gives the queue's slot back; it may be called twice.
+	release func()
+}
+
+// run serves one attempt.
+func (s *Server) run(ctx context.Context, req *encoder.RunRequest, st *connector.Stream) {
+	a := &attempt{Server: s, req: req, st: st, sum: xxhash.New(), offset: uint64(len(req.GetResumePrefix()))}
+	if !s.accept() {
+		a.refuse(encoder.CodeLeaving, "accept", encoder.Execution_EXECUTION_NOT_RUN, "")
+		return
+	}
+	defer s.finish()
+	if !a.checkConfig() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, a.deadline())
+	defer cancel()
+	if req.GetIdempotent() {
+		go a.cancelOnClose(cancel)
+	}
+	a.serve(ctx)
+}
+
+// deadline is the earlier of the wall-clock deadline and the budget left.
+func (a *attempt) deadline() time.Time {
+	wall := time.UnixMicro(a.req.GetDeadlineMicros())
+	budget := time.Now().Add(time.Duration(a.req.GetBudgetMicros()) * time.Microsecond)
+	if wall.Before(budget) {
+		return wall
+	}
+	return budget
+}
+
+// cancelOnClose ends idempotent work when the entry instance closes the stream.
+func (a *attempt) cancelOnClose(cancel context.CancelFunc) {
+	_ = a.st.Receive(&encoder.Open{})
+	cancel()
+}
+
+// checkConfig refuses a request decided by an older configuration, and one
+// decided by a newer configuration than this agent has.
+func (a *attempt) checkConfig() bool {
+	snap := a.book.Get()
+	ref := registrar.Ref{Kind: registrar.KindService, Name: a.req.GetService()}
+	own := snap.GetNumber(ref)
+	switch {
+	case own == a.req.GetConfigNumber():
+		return true
+	case own < a.req.GetConfigNumber():
+		a.refuse(encoder.CodeConfigBehind, "check_config", encoder.Execution_EXECUTION_NOT_RUN, "")
+		return false
+	}
+	a.send(&encoder.RunEvent{Kind: &encoder.RunEvent_Refusal{Refusal: &encoder.Refusal{
+		Code: encoder.CodeConfigStale, Step: "check_config", Execution: encoder.Execution_EXECUTION_NOT_RUN,
+		Entities: []*encoder.Entity{snap.Entities[ref]},
+	}}})
+	return false
+}
+
+func (a *attempt) serve(ctx context.Context) {
+	release, err := a.queue.Acquire(ctx, queuer.Work{
+		Class: int(a.req.GetPriority()), Account: a.req.GetClientAccount(), Weight: int(a.req.GetWeight()),
+		Bytes: len(a.req.GetBody()), Deadline: a.deadline(),
+	})
+	if err != nil {
+		a.refuse(queueCode(err), "queue", encoder.Execution_EXECUTION_NOT_RUN, err.Error())
+		return
+	}
+	a.release = release
+	defer func() { a.release() }()
+	leave, err := a.watch.Enter(a.req.GetDigest(), a.req.GetIsolated())
+	if err != nil {
+		a.refuse(encoder.CodeIsolationBusy, "isolate", encoder.Execution_EXECUTION_NOT_RUN, err.Error())
+		return
+	}
+	defer leave()
+	if a.req.GetIdempotent() {
+		a.runIdempotent(ctx)
+		return
+	}
+	a.runOnce(ctx)
+}
+
+func queueCode(err error) string {
+	switch {
+	case errors.Is(err, queuer.ErrClosed):
+		return encoder.CodeLeaving
+	case errors.Is(err, queuer.ErrTooLate), errors.Is(err, context.DeadlineExceeded):
+		return encoder.CodeTooLate
+	}
+	return encoder.CodeBusy
+}
+
+func (a *attempt) newCall() *driver.Call {
+	return &driver.Call{
+		AttemptID: a.req.GetAttemptId(), Method: a.req.GetMethod(), Path: a.req.GetPath(), Headers: a.req.GetHeaders(),
+		Body: a.req.GetBody(), Idempotent: a.req.GetIdempotent(), ResumePrefix: a.req.GetResumePrefix(),
+	}
+}
+
+// handOver is the last step before the backend server gets the request.
+func (a *attempt) handOver() error {
+	if err := a.checkLeaving(); err != nil {
+		return err
+	}
+	a.handedOver = true
+	return nil
+}
+
+func (a *attempt) runIdempotent(ctx context.Context) {
+	if err := a.handOver(); err != nil {
+		a.refuse(encoder.CodeLeaving, "hand_over", encoder.Execution_EXECUTION_NOT_RUN, err.Error())
+		return
+	}
+	answer, err := a.driver.Do(ctx, a.newCall())
+	if driver.IsErrNotSent(err) {
+		a.handedOver = false
+	}
+	if err != nil {
+		a.fail(ctx, err)
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if isTransient(answer.Status) {
+		a.refuse(encoder.CodeBackendError, "backend_call", encoder.Execution_EXECUTION_UNKNOWN, http.StatusText(answer.Status))
+		return
+	}
+	if err := a.checkOwn(answer); err != nil {
+		a.refuse(encoder.CodeBroken, "check_answer", encoder.Execution_EXECUTION_UNKNOWN, err.Error())
+		return
+	}
+	a.sendHead(&encoder.Head{Status: uint32(answer.Status), Headers: answer.Headers})
+	if err := a.copyBody(answer); err != nil {
+		a.fail(ctx, err)
+		return
+	}
+	a.sendEnd()
+}
+
+// isTransient reports whether an idempotent request is worth another attempt.
+func isTransient(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
+// checkOwn asserts that an answer that names its attempt names this one.
+func (a *attempt) checkOwn(answer *driver.Answer) error {
+	for _, h := range answer.Headers {
+		if h.GetName() != "X-Attempt-Id" {
+			continue
+		}
+		ok := h.GetValue() == a.req.GetAttemptId()
+		return asserter.Holds(ok, asserter.RuleOwnAnswer, "answer of %s to %s", h.GetValue(), a.req.GetAttemptId())
+	}
+	return nil
+}
+
+// fail tells what is known after a call did not end well.
+func (a *attempt) fail(ctx context.Context, err error) {
+	execution := encoder.Execution_EXECUTION_UNKNOWN
+	if !a.handedOver {
+		execution = encoder.Execution_EXECUTION_NOT_RUN
+	}
+	if ctx.Err() != nil {
+		a.refuse(encoder.CodeTooLate, "backend_call", execution, ctx.Err().Error())
+		return
+	}
+	if a.handedOver && a.watch.Broken(ctx) {
+		log.Warn("backend server crashed", "attempt", a.req.GetAttemptId())
+		a.notify()
+		a.refuseCrashed()
+		return
+	}
+	a.refuse(encoder.CodeBroken, "backend_call", execution, err.Error())
+}
+
+func (a *attempt) refuseCrashed() {
+	_, suspects := a.watch.GetCrashes()
+	code := encoder.CodeCrashed
+	for _, s := range suspects {
+		if s.GetCulprit() && string(s.GetDigest()) == string(a.req.GetDigest()) {
+			code = encoder.CodeCulprit
+		}
+	}
+	a.refuse(code, "backend_call", encoder.Execution_EXECUTION_UNKNOWN, "the backend server crashed")
+}
+
+// runOnce runs a request that must not run twice.
+func (a *attempt) runOnce(ctx context.Context) {
+	decision, err := a.guard.Begin(ctx, guard.Request{
+		ID:         guard.ID{Account: a.req.GetClientAccount(), Service: a.req.GetService(), Key: a.req.GetIdempotencyKey()},
+		Attempt:    a.req.GetAttemptId(),
+		Digest:     a.req.GetDigest(),
+		Generation: a.req.GetGeneration(),
+		Retention:  a.retention(),
+		OnWait:     a.release,
+	})
+	if err != nil {
+		a.refuse(encoder.CodeOutcomeUnknown, "begin", encoder.Execution_EXECUTION_UNKNOWN, err.Error())
+		return
+	}
+	switch d := decision.(type) {
+	case *guard.Permit:
+		a.runPermit(ctx, d)
+	case *guard.Replay:
+		a.sendWhole(d.Answer, true)
+	case *guard.Denial:
+		a.deny(d)
+	}
+}
+
+// defaultRetention is used while the service's configuration is missing.
+const defaultRetention = 24 * time.Hour
+
+func (a *attempt) retention() time.Duration {
+	if svc := a.book.Get().Services[a.req.GetService()]; svc != nil {
+		return svc.Retention
+	}
+	return defaultRetention
+}
+
+func (a *attempt) deny(d *guard.Denial) {
+	execution := encoder.Execution_EXECUTION_NOT_RUN
+	if d.Reason == guard.ReasonLost {
+		execution = encoder.Execution_EXECUTION_UNKNOWN
+	}
+	a.send(&encoder.RunEvent{Kind: &encoder.RunEvent_Refusal{Refusal: &encoder.Refusal{
+		Code: string(d.Reason), Step: "begin", Execution: execution, ClosedGeneration: d.Generation,
+	}}})
+}
+
+// runPermit runs the request, tells the answer and records it.
+func (a *attempt) runPermit(ctx context.Context, p *guard.Permit) {
+	err := a.handOver()
+	if err == nil {
+		err = p.HandOver()
+	}
+	if err != nil {
+		p.Fail()
+		a.handedOver = false
+		a.refuse(encoder.CodeLeaving, "hand_over", encoder.Execution_EXECUTION_NOT_RUN, err.Error())
+		return
+	}
+	answer, err := a.callWhole(ctx)
+	if driver.IsErrNotSent(err) {
+		a.handedOver = false
+		p.Withdraw()
+	}
+	if err != nil {
+		p.Fail()
+		a.fail(ctx, err)
+		return
+	}
+	p.Answer(answer)
+	a.release()
+	a.sendWhole(answer, false)
+	if err := p.Record(context.WithoutCancel(ctx)); err != nil {
+		log.Warn("answer not recorded yet", "attempt", a.req.GetAttemptId(), "error", err)
+	}
+}
+
+// callWhole calls the backend server and reads the whole answer.
+func (a *attempt) callWhole(ctx context.Context) (*guard.Answer, error) {
+	answer, err := a.driver.Do(ctx, a.newCall())
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if err := a.checkOwn(answer); err != nil {
+		return nil, err
+	}
+	body, err := readBounded(answer.Body)
+	if err != nil {
+		return nil, err
+	}
+	return &guard.Answer{Status: answer.Status, Headers: answer.Headers, Body: body}, nil
+}
--- /dev/null
+++ b/internal/agent/server/server.go
@@ -0,0 +1,228 @@
+// Package server is the agent: the only process that hands work and orders to
+// its backend server.
+package server
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/admission/queuer"
+	"siskinfall/internal/agent/driver"
+	"siskinfall/internal/check/asserter"
+	"siskinfall/internal/config/registrar"
+	"siskinfall/internal/config/spreader"
+	"siskinfall/internal/execution/guard"
+	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/suspect/isolator"
+	"siskinfall/internal/wire/connector"
+	"siskinfall/internal/wire/encoder"
+)
+
+// leavingGrace is how long after leaving began a backend server may still get
+// work that was accepted before.
+const leavingGrace = 3 * time.Second
+
+// GroupHandler carries out the orders of a group's coordinator.
+type GroupHandler interface {
+	// Handle answers one order.
+	Handle(order *encoder.GroupOrder) *encoder.GroupReply
+	// IsStalled reports whether the group makes no steps.
+	IsStalled() bool
+}
+
+// Server is one agent.
+type Server struct {
+	cfg         *loader.Settings
+	incarnation uint64
+	driver      *driver.Driver
+	queue       *queuer.Queue
+	guard       *guard.Guard
+	watch       *isolator.Watch
+	book        *registrar.Book
+	spreader    *spreader.Spreader
+	group       GroupHandler
+
+	mu sync.Mutex
+	// leavingSince is zero until shutdown begins.
+	leavingSince time.Time
+	// inFlight counts accepted runs; none is accepted once leaving.
+	inFlight int
+	// changed is closed and replaced when watchers must be told at once.
+	changed chan struct{}
+	drained chan struct{}
+	healthy atomic.Bool
+	seq     atomic.Uint64
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithGroup sets who carries out the orders of the group's coordinator.
+func WithGroup(g GroupHandler) Option {
+	return func(s *Server) { s.group = g }
+}
+
+// New returns a Server; ctx bounds its background work.
+func New(ctx context.Context, cfg *loader.Settings, incarnation uint64, p storer.Platform, opts ...Option) *Server {
+	book := registrar.NewBook()
+	s := &Server{
+		cfg:         cfg,
+		incarnation: incarnation,
+		driver:      driver.NewDriver(cfg.Agent.Backend),
+		queue:       queuer.NewQueue(cfg.Agent.Concurrency, queuer.WithLimits(cfg.Agent.QueueRequests, cfg.Agent.QueueBytes)),
+		guard:       guard.New(ctx, p, guard.Owner{Instance: cfg.Instance, Incarnation: incarnation}),
+		book:        book,
+		spreader:    spreader.New(book, nil, cfg.Instance),
+		changed:     make(chan struct{}),
+		drained:     make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.watch = isolator.NewWatch(cfg.Instance+"/"+strconv.FormatUint(incarnation, 36), s.probe)
+	book.Watch(func([]*encoder.Entity) { s.applyRanking() })
+	return s
+}
+
+// Book returns the configuration that concerns this agent.
+func (s *Server) Book() *registrar.Book { return s.book }
+
+// applyRanking passes the ranking of classes to the queue.
+func (s *Server) applyRanking() {
+	classes := s.book.Get().Ranking.Classes
+	floors := make([]float64, 0, len(classes))
+	for _, c := range classes {
+		floors = append(floors, c.Floor)
+	}
+	s.queue.SetFloors(floors...)
+}
+
+func (s *Server) probe(ctx context.Context) (string, error) {
+	h, err := s.driver.GetHealth(ctx)
+	return h.Boot, err
+}
+
+// RunHealth checks the backend server until ctx ends.
+func (s *Server) RunHealth(ctx context.Context) {
+	ticker := time.NewTicker(s.cfg.Agent.HealthPeriod)
+	defer ticker.Stop()
+	for {
+		s.checkHealth(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) checkHealth(ctx context.Context) {
+	h, err := s.driver.GetHealth(ctx)
+	if err == nil {
+		s.watch.SetBoot(h.Boot)
+	}
+	if s.healthy.Swap(err == nil) == (err == nil) {
+		return
+	}
+	log.Info("backend server health changed", "healthy", err == nil, "error", err)
+	s.notify()
+}
+
+// Handle serves one stream.
+func (s *Server) Handle(ctx context.Context, peer *encoder.Hello, open *encoder.Open, st *connector.Stream) {
+	var err error
+	switch k := open.GetKind().(type) {
+	case *encoder.Open_Run:
+		s.run(ctx, k.Run, st)
+	case *encoder.Open_Watch:
+		err = s.serveWatch(ctx, k.Watch, st)
+	case *encoder.Open_Config:
+		err = s.spreader.Handle(st, k.Config)
+	case *encoder.Open_Group:
+		err = s.serveGroup(k.Group, st)
+	default:
+		log.Warn("stream of unknown kind", "step", "open_stream", "peer", peer.GetInstance())
+	}
+	if err != nil {
+		log.Debug("stream ended", "peer", peer.GetInstance(), "error", err)
+	}
+}
+
+func (s *Server) serveGroup(order *encoder.GroupOrder, st *connector.Stream) error {
+	if s.group == nil {
+		return st.Send(&encoder.GroupReply{Instance: s.cfg.Instance})
+	}
+	return st.Send(s.group.Handle(order))
+}
+
+// accept counts a run, unless the agent is leaving.
+func (s *Server) accept() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leavingSince.IsZero() {
+		return false
+	}
+	s.inFlight++
+	return true
+}
+
+func (s *Server) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	if s.inFlight == 0 && !s.leavingSince.IsZero() {
+		close(s.drained)
+	}
+}
+
+// checkLeaving asserts that a leaving backend server gets no new work.
+func (s *Server) checkLeaving() error {
+	s.mu.Lock()
+	since := s.leavingSince
+	s.mu.Unlock()
+	ok := since.IsZero() || time.Since(since) < leavingGrace
+	return asserter.Holds(ok, asserter.RuleNoNewWork, "hand-over %v after leaving began", time.Since(since))
+}
+
+// notify makes every watcher send the status at once.
+func (s *Server) notify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Drain refuses new work, tells every entry instance, and waits for the work in
+// flight. It reports whether all of it has ended.
+func (s *Server) Drain(ctx context.Context) bool {
+	s.mu.Lock()
+	s.leavingSince = time.Now()
+	if s.inFlight == 0 {
+		close(s.drained)
+	}
+	s.mu.Unlock()
+	s.queue.Close()
+	s.notify()
+	select {
+	case <-s.drained:
+	case <-ctx.Done():
+		return false
+	}
+	s.guard.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return asserter.Holds(s.inFlight == 0, asserter.RuleDrained, "%d runs in flight", s.inFlight) == nil
+}
+
+// IsReady reports whether the agent takes work.
+func (s *Server) IsReady() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leavingSince.IsZero() && s.healthy.Load()
+}
--- /dev/null
+++ b/internal/config/registrar/acceptor.go
@@ -0,0 +1,262 @@
+package registrar
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/wire/encoder"
+)
+
+// Keys in the platform's table and object store.
+const (
+	headKey     = "config/head"
+	ticketPath  = "config/ticket/"
+	changePath  = "config/change/"
+	entityPath  = "config/entity/"
+	snapshotKey = "config/snapshot"
+)
+
+// acceptTries bounds the transactions tried for one ticket.
+const acceptTries = 8
+
+// ErrNumberTaken says that the number belongs to another content.
+var ErrNumberTaken = errors.New("ticket number is taken by another content")
+
+// ErrUncertain says that the ticket may or may not have been accepted.
+var ErrUncertain = errors.New("the platform's answer is missing: the ticket may have been accepted, apply it again")
+
+// SupersededError says which ticket already set a thing.
+type SupersededError struct {
+	Ref Ref
+	// By is the number in force, above the refused ticket's.
+	By uint64
+}
+
+// Error implements error.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("%s was already set by ticket %d", e.Ref, e.By)
+}
+
+// record is the row of a ticket or a change.
+type record struct {
+	Number uint64 `json:"number"`
+	// Sequence is the place of the ticket in the order of acceptance.
+	Sequence uint64            `json:"sequence"`
+	Author   string            `json:"author"`
+	Sum      []byte            `json:"sha256"`
+	Time     time.Time         `json:"time"`
+	Entities []*encoder.Entity `json:"entities"`
+}
+
+// head counts the accepted tickets.
+type head struct {
+	Sequence uint64 `json:"sequence"`
+}
+
+// Registry accepts tickets into the platform's table and reads them from it.
+type Registry struct {
+	table   storer.Table
+	objects storer.Objects
+}
+
+// NewRegistry returns a Registry over the platform.
+func NewRegistry(p storer.Platform) *Registry {
+	return &Registry{table: p, objects: p}
+}
+
+// Accept commits a ticket in one conditional transaction and returns its
+// states. The same ticket again is a success without effect.
+func (g *Registry) Accept(ctx context.Context, t *Ticket) ([]*encoder.Entity, error) {
+	entities, err := t.Entities()
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(t)
+	if err != nil {
+		return nil, wrapper.At("encode_ticket", "", err)
+	}
+	sum := sha256.Sum256(body)
+	uncertain := false
+	for range acceptTries {
+		done, err := g.tryAccept(ctx, t, entities, sum[:])
+		switch {
+		case err == nil && done:
+			return entities, nil
+		case err == nil, storer.IsErrConflict(err):
+			continue
+		case isRefusal(err):
+			return nil, err
+		}
+		uncertain = true
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if uncertain {
+		return nil, wrapper.At("accept_ticket", "platform", ErrUncertain)
+	}
+	return nil, wrapper.At("accept_ticket", "platform", storer.ErrConflict)
+}
+
+// isRefusal reports whether err is a definite no.
+func isRefusal(err error) bool {
+	var s *SupersededError
+	return errors.As(err, &s) || errors.Is(err, ErrNumberTaken)
+}
+
+// tryAccept runs one transaction. It reports true once the ticket is known to
+// be accepted, by this transaction or by an earlier one.
+func (g *Registry) tryAccept(ctx context.Context, t *Ticket, entities []*encoder.Entity, sum []byte) (bool, error) {
+	if known, err := g.isAccepted(ctx, t.Number, sum); known || err != nil {
+		return known, err
+	}
+	headRow, seq, err := g.readHead(ctx)
+	if err != nil {
+		return false, err
+	}
+	rec := record{Number: t.Number, Sequence: seq + 1, Author: t.Author, Sum: sum, Time: time.Now().UTC(), Entities: entities}
+	recBody, err := json.Marshal(rec)
+	if err != nil {
+		return false, wrapper.At("encode_ticket", "", err)
+	}
+	headBody, err := json.Marshal(head{Sequence: seq + 1})
+	if err != nil {
+		return false, wrapper.At("encode_head", "", err)
+	}
+	txn := storer.Txn{
+		Conditions: []storer.Condition{{Key: headKey, Version: headRow.Version}, {Key: ticketKey(t.Number)}},
+		Writes: []storer.Write{
+			{Key: headKey, Value: headBody},
+			{Key: ticketKey(t.Number), Value: recBody},
+			{Key: changeKey(seq + 1), Value: recBody},
+		},
+	}
+	for _, e := range entities {
+		if err := g.addEntity(ctx, &txn, e); err != nil {
+			return false, err
+		}
+	}
+	if err := g.table.Commit(ctx, txn); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
+// addEntity adds one state to txn, or returns a SupersededError.
+func (g *Registry) addEntity(ctx context.Context, txn *storer.Txn, e *encoder.Entity) error {
+	ref := Ref{Kind: Kind(e.GetKind()), Name: e.GetName()}
+	key := entityPath + ref.String()
+	row, err := g.table.GetRow(ctx, key)
+	if err != nil && !storer.IsErrRowNotExist(err) {
+		return err
+	}
+	var cur encoder.Entity
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &cur); err != nil {
+			return wrapper.At("decode_entity", "platform", err)
+		}
+	}
+	if cur.GetNumber() >= e.GetNumber() {
+		return &SupersededError{Ref: ref, By: cur.GetNumber()}
+	}
+	body, err := json.Marshal(e)
+	if err != nil {
+		return wrapper.At("encode_entity", "", err)
+	}
+	txn.Conditions = append(txn.Conditions, storer.Condition{Key: key, Version: row.Version})
+	txn.Writes = append(txn.Writes, storer.Write{Key: key, Value: body})
+	return nil
+}
+
+func (g *Registry) isAccepted(ctx context.Context, number uint64, sum []byte) (bool, error) {
+	row, err := g.table.GetRow(ctx, ticketKey(number))
+	if storer.IsErrRowNotExist(err) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	var rec record
+	if err := json.Unmarshal(row.Value, &rec); err != nil {
+		return false, wrapper.At("decode_ticket", "platform", err)
+	}
+	if !bytes.Equal(rec.Sum, sum) {
+		return false, fmt.Errorf("%w: number %d by %s", ErrNumberTaken, number, rec.Author)
+	}
+	return true, nil
+}
+
+func (g *Registry) readHead(ctx context.Context) (storer.Row, uint64, error) {
+	row, err := g.table.GetRow(ctx, headKey)
+	if storer.IsErrRowNotExist(err) {
+		return storer.Row{}, 0, nil
+	}
+	if err != nil {
+		return storer.Row{}, 0, err
+	}
+	var h head
+	err = json.Unmarshal(row.Value, &h)
+	return row, h.Sequence, wrapper.At("decode_head", "platform", err)
+}
+
+func ticketKey(number uint64) string { return fmt.Sprintf("%s%020d", ticketPath, number) }
+func changeKey(seq uint64) string    { return fmt.Sprintf("%s%020d", changePath, seq) }
+
+// Summary describes an accepted ticket.
+type Summary struct {
+	Number   uint64    `json:"number"`
+	Sequence uint64    `json:"sequence"`
+	Author   string    `json:"author"`
+	Time     time.Time `json:"time"`
+	// Touched names the things it set or deleted.
+	Touched []string `json:"touched"`
+}
+
+// listPage is the number of rows read at once.
+const listPage = 256
+
+// ListTickets returns the accepted tickets by number.
+func (g *Registry) ListTickets(ctx context.Context) ([]Summary, error) {
+	recs, err := g.listRecords(ctx, ticketPath, ticketPath)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]Summary, 0, len(recs))
+	for _, rec := range recs {
+		s := Summary{Number: rec.Number, Sequence: rec.Sequence, Author: rec.Author, Time: rec.Time}
+		for _, e := range rec.Entities {
+			s.Touched = append(s.Touched, strings.Join([]string{e.GetKind(), e.GetName()}, "/"))
+		}
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+func (g *Registry) listRecords(ctx context.Context, prefix, after string) ([]record, error) {
+	var list []record
+	for {
+		rows, err := g.table.ListRows(ctx, prefix, after, listPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			var rec record
+			if err := json.Unmarshal(row.Value, &rec); err != nil {
+				return nil, wrapper.At("decode_ticket", "platform", err)
+			}
+			list = append(list, rec)
+			after = row.Key
+		}
+		if len(rows) < listPage {
+			return list, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/registrar/book.go
@@ -0,0 +1,264 @@
+package registrar
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/check/asserter"
+	"siskinfall/internal/wire/encoder"
+)
+
+// Snapshot is the configuration in force at one moment; it is never changed.
+type Snapshot struct {
+	Accounts map[string]*ClientAccount
+	Services map[string]*Service
+	Groups   map[string]*Group
+	// Ranking is never nil.
+	Ranking *Ranking
+	// Entities holds the wire form, deleted ones too.
+	Entities map[Ref]*encoder.Entity
+	// Digest is equal for two snapshots with the same numbers.
+	Digest uint64
+	// byKey finds an account by the hash of its key.
+	byKey map[[sha256.Size]byte]*ClientAccount
+}
+
+// defaultRanking is in force until a ticket sets another.
+var defaultRanking = &Ranking{
+	Name:    RankingName,
+	Classes: []Class{{Name: "field"}, {Name: "background", Floor: 0.05}},
+}
+
+// Book is the configuration of one process. Numbers only rise.
+type Book struct {
+	mu sync.Mutex
+	// snap is replaced as a whole under mu.
+	snap atomic.Pointer[Snapshot]
+	// watchers are called after each change, outside mu.
+	watchers []func(changed []*encoder.Entity)
+}
+
+// NewBook returns an empty Book.
+func NewBook() *Book {
+	b := &Book{}
+	b.snap.Store(newSnapshot(map[Ref]*encoder.Entity{}))
+	return b
+}
+
+// Get returns the snapshot in force.
+func (b *Book) Get() *Snapshot { return b.snap.Load() }
+
+// Watch calls f after every change.
+func (b *Book) Watch(f func(changed []*encoder.Entity)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watchers = append(b.watchers, f)
+}
+
+// Apply takes in states; for each thing the highest number wins, so the order
+// of calls does not matter. It returns what changed.
+func (b *Book) Apply(entities []*encoder.Entity) []*encoder.Entity {
+	b.mu.Lock()
+	old := b.snap.Load()
+	next := maps.Clone(old.Entities)
+	var changed []*encoder.Entity
+	for _, e := range entities {
+		if takeIn(next, e) {
+			changed = append(changed, e)
+		}
+	}
+	if len(changed) == 0 {
+		b.mu.Unlock()
+		return nil
+	}
+	snap := newSnapshot(next)
+	if err := checkMonotone(old, snap); err != nil {
+		b.mu.Unlock()
+		return nil
+	}
+	b.snap.Store(snap)
+	watchers := slices.Clone(b.watchers)
+	b.mu.Unlock()
+	for _, f := range watchers {
+		f(changed)
+	}
+	return changed
+}
+
+// takeIn puts e into next if its number is the highest and it can be decoded.
+func takeIn(next map[Ref]*encoder.Entity, e *encoder.Entity) bool {
+	ref := Ref{Kind: Kind(e.GetKind()), Name: e.GetName()}
+	if cur := next[ref]; cur != nil && cur.GetNumber() >= e.GetNumber() {
+		return false
+	}
+	if _, err := decodeEntity(e); err != nil {
+		log.Error("state refused", "step", "decode_entity", "entity", ref, "error", err)
+		return false
+	}
+	next[ref] = e
+	return true
+}
+
+func checkMonotone(old, next *Snapshot) error {
+	for ref, e := range old.Entities {
+		now := next.Entities[ref].GetNumber()
+		err := asserter.Holds(now >= e.GetNumber(), asserter.RuleMonotone, "%s fell from %d to %d", ref, e.GetNumber(), now)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newSnapshot(entities map[Ref]*encoder.Entity) *Snapshot {
+	s := &Snapshot{
+		Accounts: make(map[string]*ClientAccount),
+		Services: make(map[string]*Service),
+		Groups:   make(map[string]*Group),
+		Ranking:  defaultRanking,
+		Entities: entities,
+		byKey:    make(map[[sha256.Size]byte]*ClientAccount),
+	}
+	for ref, e := range entities {
+		s.Digest += entityDigest(ref, e.GetNumber())
+		a, err := decodeEntity(e)
+		if err != nil {
+			continue
+		}
+		s.add(a)
+	}
+	return s
+}
+
+func (s *Snapshot) add(a Aggregate) {
+	switch a := a.(type) {
+	case *ClientAccount:
+		s.Accounts[a.Name] = a
+		for _, h := range a.KeyHashes {
+			raw, err := hex.DecodeString(h)
+			if err == nil && len(raw) == sha256.Size {
+				s.byKey[[sha256.Size]byte(raw)] = a
+			}
+		}
+	case *Service:
+		s.Services[a.Name] = a
+	case *Group:
+		s.Groups[a.Name] = a
+	case *Ranking:
+		s.Ranking = a
+	}
+}
+
+// entityDigest hashes a name and number; sums of it do not depend on order.
+func entityDigest(ref Ref, number uint64) uint64 {
+	var buf [8]byte
+	for i := range buf {
+		buf[i] = byte(number >> (8 * i))
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(ref.String())
+	_, _ = d.Write(buf[:])
+	return d.Sum64()
+}
+
+// GetAccountByKey returns the account of a bearer key. Only hashes are
+// compared: the lookup reveals nothing of the key, and the final comparison
+// takes constant time.
+func (s *Snapshot) GetAccountByKey(key string) (*ClientAccount, bool) {
+	sum := sha256.Sum256([]byte(key))
+	a := s.byKey[sum]
+	if a == nil {
+		return nil, false
+	}
+	for _, h := range a.KeyHashes {
+		raw, err := hex.DecodeString(h)
+		if err == nil && subtle.ConstantTimeCompare(raw, sum[:]) == 1 {
+			return a, true
+		}
+	}
+	return nil, false
+}
+
+// GetNumber returns the number of a thing in force, 0 if it was never set.
+func (s *Snapshot) GetNumber(ref Ref) uint64 { return s.Entities[ref].GetNumber() }
+
+// GetClassIndex returns the precedence of a class, the lowest for unknown ones.
+func (s *Snapshot) GetClassIndex(name string) int {
+	for i, c := range s.Ranking.Classes {
+		if c.Name == name {
+			return i
+		}
+	}
+	return len(s.Ranking.Classes) - 1
+}
+
+// GetServiceByPath returns the plain service whose prefix is the longest match.
+func (s *Snapshot) GetServiceByPath(path string) (*Service, bool) {
+	var best *Service
+	for _, svc := range s.Services {
+		if svc.Kind != ServicePlain || !strings.HasPrefix(path, svc.PathPrefix) {
+			continue
+		}
+		if best == nil || len(svc.PathPrefix) > len(best.PathPrefix) {
+			best = svc
+		}
+	}
+	return best, best != nil
+}
+
+// IsIdempotent reports whether a request may run more than once.
+func (s *Service) IsIdempotent(method, path string) bool {
+	for _, r := range s.Routes {
+		if slices.Contains(r.Methods, method) && strings.HasPrefix(path, r.PathPrefix) {
+			return r.Idempotent
+		}
+	}
+	return s.Kind == ServiceModel || method == "GET" || method == "HEAD"
+}
+
+// Numbers returns the numbers of all things, for comparison with a peer.
+func (s *Snapshot) Numbers() []*encoder.EntityNumber {
+	list := make([]*encoder.EntityNumber, 0, len(s.Entities))
+	for ref, e := range s.Entities {
+		list = append(list, &encoder.EntityNumber{Kind: string(ref.Kind), Name: ref.Name, Number: e.GetNumber()})
+	}
+	return list
+}
+
+// NewerThan returns the states whose number is above the peer's.
+func (s *Snapshot) NewerThan(peer []*encoder.EntityNumber) []*encoder.Entity {
+	have := make(map[Ref]uint64, len(peer))
+	for _, n := range peer {
+		have[Ref{Kind: Kind(n.GetKind()), Name: n.GetName()}] = n.GetNumber()
+	}
+	var list []*encoder.Entity
+	for ref, e := range s.Entities {
+		if e.GetNumber() > have[ref] {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// ForAgent returns what concerns an agent: its service, its group, the ranking.
+func (s *Snapshot) ForAgent(service, group string) []*encoder.Entity {
+	var list []*encoder.Entity
+	for ref, e := range s.Entities {
+		switch {
+		case ref.Kind == KindRanking,
+			ref.Kind == KindService && ref.Name == service,
+			ref.Kind == KindGroup && ref.Name == group:
+			list = append(list, e)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/dispatcher/attempt.go
@@ -0,0 +1,297 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"siskinfall/internal/check/asserter"
+	"siskinfall/internal/config/registrar"
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/routing/tracker"
+	"siskinfall/internal/suspect/isolator"
+	"siskinfall/internal/wire/connector"
+	"siskinfall/internal/wire/encoder"
+)
+
+// step is what follows an attempt.
+type step interface{ sealed() }
+
+// finished ends the request.
+type finished struct{ Outcome }
+
+// again asks for another attempt.
+type again struct {
+	// free costs nothing of the budget.
+	free bool
+}
+
+func (*finished) sealed() {}
+func (*again) sealed()    {}
+
+var (
+	errOffset  = errors.New("data does not follow what came before")
+	errAttempt = errors.New("event of another attempt")
+	errKind    = errors.New("event of unknown kind")
+	errCaller  = errors.New("caller has gone")
+	errHead    = errors.New("answer differs from what the caller has")
+)
+
+var crossed = metrics.NewCounter("siskinfall_crossed_events_total")
+
+// try makes one attempt at a target.
+func (j *job) try(ctx context.Context, target *tracker.Target) step {
+	j.attempts++
+	j.sends++
+	j.tried = append(j.tried, target.Backend)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if j.Idempotent {
+		stop := cancelOnLoss(ctx, cancel, target)
+		defer stop()
+	}
+	target.Start(j.Prefix, time.Now())
+	refusal, err := j.exchange(ctx, target)
+	target.Finish(isBackendFault(refusal, err) && ctx.Err() == nil)
+	switch {
+	case errors.Is(err, errCaller):
+		return &finished{&CallerGone{}}
+	case err != nil:
+		return j.afterError(target, err)
+	case refusal != nil:
+		return j.afterRefusal(target, refusal)
+	}
+	j.Trace.Add("complete", "status %d by %s", j.status, target.Name)
+	return &finished{&Completed{Status: j.status, FirstByte: j.first}}
+}
+
+// cancelOnLoss cancels an attempt when the agent's heartbeats are missing.
+func cancelOnLoss(ctx context.Context, cancel context.CancelFunc, target *tracker.Target) (stop func()) {
+	done := make(chan struct{})
+	lost := target.Lost()
+	go func() {
+		select {
+		case <-lost:
+			cancel()
+		case <-ctx.Done():
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
+// isBackendFault reports whether an attempt speaks against its backend server.
+func isBackendFault(refusal *encoder.Refusal, err error) bool {
+	if err != nil {
+		return !errors.Is(err, errCaller)
+	}
+	switch refusal.GetCode() {
+	case encoder.CodeBroken, encoder.CodeCrashed, encoder.CodeBackendError:
+		return true
+	}
+	return false
+}
+
+// exchange sends the request and passes the answer on. It returns a refusal, an
+// error, or neither when the caller has the whole answer.
+func (j *job) exchange(ctx context.Context, target *tracker.Target) (*encoder.Refusal, error) {
+	req := j.newRunRequest()
+	st, err := j.pool.Open(ctx, target.Addr, &encoder.Open{Kind: &encoder.Open_Run{Run: req}})
+	if err != nil {
+		// The frame may have been written in part or whole.
+		j.unresolved = j.unresolved || wasSent(err)
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = st.Close() })
+	defer stop()
+	defer func() { _ = st.Close() }()
+	refusal, err := j.receive(st, req)
+	if err != nil {
+		j.unresolved = true
+	}
+	return refusal, err
+}
+
+// wasSent reports whether an error of Open leaves open that the peer got the
+// first frame.
+func wasSent(err error) bool {
+	step, _ := wrapper.GetStep(err)
+	return step == "send_frame"
+}
+
+func (j *job) newRunRequest() *encoder.RunRequest {
+	return &encoder.RunRequest{
+		RequestId: j.ID, AttemptId: j.newAttemptID(), ClientAccount: j.Account.Name, Service: j.Service.Name,
+		Method: j.Method, Path: j.Path, Headers: j.Headers, Body: j.Body,
+		DeadlineMicros: j.Deadline.UnixMicro(), BudgetMicros: time.Until(j.Deadline).Microseconds(),
+		Idempotent: j.Idempotent, IdempotencyKey: j.Key, Digest: j.Digest, Generation: j.generation,
+		ConfigNumber: j.Number, Priority: uint32(j.Priority), Weight: uint32(j.Account.Weight),
+		ResumePrefix: j.sent, Isolated: j.isolated,
+	}
+}
+
+// receive passes one attempt's events on until its end.
+func (j *job) receive(st *connector.Stream, req *encoder.RunRequest) (*encoder.Refusal, error) {
+	sum := xxhash.New()
+	offset := uint64(len(req.GetResumePrefix()))
+	for {
+		ev := &encoder.RunEvent{}
+		if err := st.Receive(ev); err != nil {
+			return nil, err
+		}
+		if ev.GetAttemptId() != req.GetAttemptId() {
+			crossed.Inc()
+			_ = asserter.Holds(false, asserter.RuleOwnAnswer, "%s on the stream of %s", ev.GetAttemptId(), req.GetAttemptId())
+			return nil, wrapper.At("receive_answer", st.Peer(), errAttempt)
+		}
+		switch k := ev.GetKind().(type) {
+		case *encoder.RunEvent_Head:
+			if err := j.passHead(k.Head); err != nil {
+				return nil, err
+			}
+		case *encoder.RunEvent_Chunk:
+			if k.Chunk.GetOffset() != offset {
+				return nil, wrapper.At("receive_answer", st.Peer(), errOffset)
+			}
+			offset += uint64(len(k.Chunk.GetData()))
+			_, _ = sum.Write(k.Chunk.GetData())
+			if err := j.passData(k.Chunk.GetData()); err != nil {
+				return nil, err
+			}
+		case *encoder.RunEvent_End:
+			whole := k.End.GetLength() == offset && k.End.GetChecksum() == sum.Sum64()
+			return nil, asserter.Holds(whole, asserter.RuleWholeAnswer, "attempt %s: %d of %d bytes", req.GetAttemptId(), offset, k.End.GetLength())
+		case *encoder.RunEvent_Refusal:
+			return k.Refusal, nil
+		default:
+			return nil, wrapper.At("receive_answer", st.Peer(), errKind)
+		}
+	}
+}
+
+// passHead sends the head to the caller once; a resumed answer must agree.
+func (j *job) passHead(h *encoder.Head) error {
+	if j.head {
+		if int(h.GetStatus()) != j.status {
+			return errHead
+		}
+		return nil
+	}
+	j.head = true
+	j.status = int(h.GetStatus())
+	j.first = time.Since(j.start)
+	if err := j.sink.SendHead(j.status, h.GetHeaders(), h.GetReplayed()); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
+
+func (j *job) passData(data []byte) error {
+	if j.resumable = j.resumable && j.Idempotent && len(j.sent)+len(data) <= maxResume; j.resumable {
+		j.sent = append(j.sent, data...)
+	}
+	if err := j.sink.SendData(data); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
+
+// afterError decides what follows an attempt that broke off.
+func (j *job) afterError(target *tracker.Target, err error) step {
+	j.Trace.Add("attempt", "%s broke off: %v", target.Name, err)
+	j.last = &encoder.Refusal{Code: encoder.CodeBroken, Step: "receive_answer", Detail: "the connection to the backend server broke"}
+	return j.resumeOrEnd()
+}
+
+// resumeOrEnd goes on unless the caller has a part that cannot be continued.
+func (j *job) resumeOrEnd() step {
+	if j.head && (!j.Idempotent || !j.canResume()) {
+		return &finished{j.giveUp(context.Background(), j.last.GetCode(), j.last.GetStep())}
+	}
+	return &again{}
+}
+
+// canResume reports whether the answer can go on behind what the caller has.
+func (j *job) canResume() bool {
+	return j.resumable && (len(j.sent) == 0 || j.Service.Kind == registrar.ServiceModel)
+}
+
+// afterRefusal decides what follows an agent's refusal.
+func (j *job) afterRefusal(target *tracker.Target, r *encoder.Refusal) step {
+	j.Trace.Add("attempt", "%s refused: %s at %s, execution %s", target.Name, r.GetCode(), r.GetStep(), ExecutionName(r.GetExecution()))
+	j.last = r
+	if r.GetExecution() != encoder.Execution_EXECUTION_NOT_RUN {
+		j.unresolved = true
+	}
+	switch r.GetCode() {
+	case encoder.CodeConfigStale:
+		return j.afterStale(r)
+	case encoder.CodeConfigBehind:
+		j.onBehind(target)
+		j.untry()
+		return &again{free: true}
+	case encoder.CodeClosed:
+		return j.afterClosed(r)
+	case encoder.CodeKeyReused, encoder.CodeCulprit:
+		return &finished{j.giveUp(context.Background(), r.GetCode(), r.GetStep())}
+	case encoder.CodeOutcomeUnknown:
+		return &finished{j.newUnknown(r)}
+	case encoder.CodeCrashed:
+		j.suspect(target)
+	case encoder.CodeLeaving:
+		target.SetAvailable(false)
+		return &again{free: true}
+	}
+	if !j.Idempotent && r.GetExecution() != encoder.Execution_EXECUTION_NOT_RUN {
+		return &finished{j.giveUp(context.Background(), r.GetCode(), r.GetStep())}
+	}
+	return j.resumeOrEnd()
+}
+
+// untry lets the target of the last attempt be picked again, at no cost.
+func (j *job) untry() {
+	j.tried = j.tried[:len(j.tried)-1]
+	j.attempts--
+}
+
+// afterStale takes in the newer configuration and decides anew.
+func (j *job) afterStale(r *encoder.Refusal) step {
+	j.book.Apply(r.GetEntities())
+	snap := j.book.Get()
+	svc := snap.Services[j.Service.Name]
+	if svc == nil || svc.IsIdempotent(j.Method, j.Path) != j.Idempotent {
+		return &finished{j.giveUp(context.Background(), r.GetCode(), r.GetStep())}
+	}
+	j.Service = svc
+	j.Number = snap.GetNumber(registrar.Ref{Kind: registrar.KindService, Name: svc.Name})
+	j.untry()
+	return &again{free: true}
+}
+
+// afterClosed opens the next generation of the key. An attempt of this request
+// that is under way carries the closed one and can no longer run.
+func (j *job) afterClosed(r *encoder.Refusal) step {
+	j.generation = max(j.generation, r.GetClosedGeneration()) + 1
+	j.unresolved = false
+	j.untry()
+	return &again{free: true}
+}
+
+func (j *job) newUnknown(r *encoder.Refusal) *Refused {
+	return &Refused{
+		Code: r.GetCode(), Step: r.GetStep(), Execution: encoder.Execution_EXECUTION_UNKNOWN, Begun: j.head,
+		RetryAfter: minRetryAfter, Detail: "an earlier run of this key was handed over and its outcome was lost",
+	}
+}
+
+// suspect makes the next attempt run apart from other suspects, and tells the
+// other entry instances.
+func (j *job) suspect(target *tracker.Target) {
+	j.isolated = true
+	j.onSuspects([]*encoder.Suspect{{
+		Digest: j.Digest, Instance: target.Name, ExpiresMicros: time.Now().Add(isolator.Suspicion).UnixMicro(),
+	}})
+}
--- /dev/null
+++ b/internal/entry/server/callers.go
@@ -0,0 +1,311 @@
+package server
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/admission/limiter"
+	"siskinfall/internal/config/registrar"
+	"siskinfall/internal/entry/dispatcher"
+	"siskinfall/internal/report/burner"
+	"siskinfall/internal/wire/encoder"
+)
+
+// Header names of the callers' interface.
+const (
+	headerRequestID = "X-Request-Id"
+	headerKey       = "Idempotency-Key"
+	headerClass     = "X-Siskinfall-Class"
+	headerReplayed  = "Idempotency-Replayed"
+	headerTimeout   = "X-Request-Timeout"
+)
+
+// Limits of what a caller sends.
+const (
+	maxKeyLength = 128
+	// prefixBytes is the length of the prompt's beginning that is hashed.
+	prefixBytes = 1024
+)
+
+// forwarded are the request headers that go to the backend server.
+var forwarded = []string{"Content-Type", "Accept", "Accept-Language", headerKey}
+
+// chatRequest is the part of a chat request that routing reads.
+type chatRequest struct {
+	Model    string          `json:"model"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+// serveModel serves chat completions; the model names the service.
+func (s *Server) serveModel(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, func(snap *registrar.Snapshot, body []byte) (*registrar.Service, uint64, *Problem) {
+		var c chatRequest
+		if err := json.Unmarshal(body, &c); err != nil {
+			return nil, 0, newProblem(http.StatusBadRequest, encoder.CodeBadRequest, "parse_request", "the body is not a chat request")
+		}
+		svc := snap.Services[c.Model]
+		if svc == nil || svc.Kind != registrar.ServiceModel {
+			return nil, 0, newProblem(http.StatusNotFound, encoder.CodeNotFound, "find_service", "there is no such model")
+		}
+		return svc, hashPrefix(c.Messages), nil
+	})
+}
+
+func hashPrefix(messages []byte) uint64 {
+	return xxhash.Sum64(messages[:min(len(messages), prefixBytes)])
+}
+
+// servePlain serves plain services; the path names the service.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, func(snap *registrar.Snapshot, _ []byte) (*registrar.Service, uint64, *Problem) {
+		svc, ok := snap.GetServiceByPath(r.URL.Path)
+		if !ok {
+			return nil, 0, newProblem(http.StatusNotFound, encoder.CodeNotFound, "find_service", "no service has this path")
+		}
+		return svc, 0, nil
+	})
+}
+
+// finder finds the service of a request and the hash of its prompt's beginning.
+type finder func(snap *registrar.Snapshot, body []byte) (*registrar.Service, uint64, *Problem)
+
+var requestSeq atomic.Uint64
+
+// newRequestID is unique over all instances and their restarts.
+func (s *Server) newRequestID() string {
+	return fmt.Sprintf("%s-%x-%d", s.cfg.Instance, s.incarnation, requestSeq.Add(1))
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, find finder) {
+	id := s.newRequestID()
+	w.Header().Set(headerRequestID, id)
+	if !s.accept() {
+		newProblem(http.StatusServiceUnavailable, encoder.CodeDraining, "accept", "this instance is shutting down").write(w, id)
+		return
+	}
+	defer s.finish()
+	if !s.configured.Load() {
+		newProblem(http.StatusServiceUnavailable, encoder.CodeNotReady, "accept", "this instance has no configuration yet").write(w, id)
+		return
+	}
+	req, problem := s.newRequest(w, r, id, find)
+	if problem != nil {
+		problem.write(w, id)
+		return
+	}
+	s.runRequest(w, r, req)
+}
+
+// newRequest checks a request and gives it its service, class and deadline.
+func (s *Server) newRequest(w http.ResponseWriter, r *http.Request, id string, find finder) (*dispatcher.Request, *Problem) {
+	snap := s.book.Get()
+	account, ok := snap.GetAccountByKey(bearerKey(r))
+	if !ok {
+		return nil, newProblem(http.StatusUnauthorized, encoder.CodeUnauthorized, "authenticate", "the bearer key is not known")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.cfg.Entry.MaxBody)))
+	if err != nil {
+		return nil, newBodyProblem(err)
+	}
+	svc, prefix, problem := find(snap, body)
+	if problem != nil {
+		return nil, problem
+	}
+	if len(account.Services) > 0 && !slices.Contains(account.Services, svc.Name) {
+		return nil, newProblem(http.StatusForbidden, encoder.CodeForbidden, "authorize", "the client account may not use this service")
+	}
+	req := &dispatcher.Request{
+		ID: id, Account: account, Service: svc,
+		Number: snap.GetNumber(registrar.Ref{Kind: registrar.KindService, Name: svc.Name}),
+		Method: r.Method, Path: r.URL.RequestURI(), Headers: forwardHeaders(r), Body: body,
+		Idempotent: svc.IsIdempotent(r.Method, r.URL.Path), Prefix: prefix,
+		Priority: snap.GetClassIndex(classOf(r, account)), Deadline: time.Now().Add(timeoutOf(r, svc)),
+		Digest: digestOf(account.Name, r.Method, r.URL.RequestURI(), body),
+	}
+	return req, s.setKey(r, req)
+}
+
+func newBodyProblem(err error) *Problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return newProblem(http.StatusRequestEntityTooLarge, encoder.CodeTooLarge, "read_body", "the body is too large")
+	}
+	return newProblem(http.StatusBadRequest, encoder.CodeBadRequest, "read_body", "the body could not be read")
+}
+
+// setKey gives non-idempotent work its key: the caller's, or the request id.
+func (s *Server) setKey(r *http.Request, req *dispatcher.Request) *Problem {
+	key := r.Header.Get(headerKey)
+	switch {
+	case req.Idempotent:
+		return nil
+	case len(key) > maxKeyLength || strings.ContainsAny(key, "/\n"):
+		return newProblem(http.StatusBadRequest, encoder.CodeBadRequest, "check_key", "the idempotency key is too long or has a slash")
+	case key != "":
+		req.Key = "c:" + key
+		return nil
+	case req.Service.RequireKey:
+		return newProblem(http.StatusBadRequest, encoder.CodeKeyRequired, "check_key", "this service requires an Idempotency-Key")
+	}
+	req.Key = "r:" + req.ID
+	return nil
+}
+
+func bearerKey(r *http.Request) string {
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return key
+}
+
+func classOf(r *http.Request, a *registrar.ClientAccount) string {
+	if class := r.Header.Get(headerClass); class != "" {
+		return class
+	}
+	return a.Class
+}
+
+// timeoutOf is the service's timeout, or a shorter one that the caller wants.
+func timeoutOf(r *http.Request, svc *registrar.Service) time.Duration {
+	wanted, err := time.ParseDuration(r.Header.Get(headerTimeout))
+	if err != nil || wanted <= 0 {
+		return svc.Timeout
+	}
+	return min(wanted, svc.Timeout)
+}
+
+func forwardHeaders(r *http.Request) []*encoder.Header {
+	var list []*encoder.Header
+	for _, name := range forwarded {
+		if v := r.Header.Get(name); v != "" {
+			list = append(list, &encoder.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+// digestOf identifies a request by its content and client account.
+func digestOf(parts ...any) []byte {
+	h := sha256.New()
+	for _, p := range parts {
+		_, _ = fmt.Fprintf(h, "%v\x00", p)
+	}
+	return h.Sum(nil)
+}
+
+// runRequest admits a request and writes its outcome.
+func (s *Server) runRequest(w http.ResponseWriter, r *http.Request, req *dispatcher.Request) {
+	req.Trace = s.recorder.NewTrace(req.ID, req.Account.Name, req.Service.Name)
+	release, wait, err := s.limiter.Acquire(r.Context(), req.Account)
+	if err != nil {
+		req.Trace.Add("limit", "refused: %v", err)
+		newLimitProblem(err, wait).write(w, req.ID)
+		countRequest(req, "limited")
+		return
+	}
+	defer release()
+	sink := &callerSink{w: w, rc: http.NewResponseController(w)}
+	outcome := s.dispatcher.Do(r.Context(), req, sink)
+	s.count(req, outcome)
+	refused, ok := outcome.(*dispatcher.Refused)
+	if !ok {
+		return
+	}
+	log.Info("request refused", "request_id", req.ID, "client_account", req.Account.Name, "service", req.Service.Name,
+		"code", refused.Code, "step", refused.Step, "execution", dispatcher.ExecutionName(refused.Execution))
+	p := newRefusalProblem(refused)
+	if !refused.Begun {
+		p.write(w, req.ID)
+		return
+	}
+	sink.abort(p, req.ID)
+}
+
+func newLimitProblem(err error, wait time.Duration) *Problem {
+	code := encoder.CodeRateLimited
+	if errors.Is(err, limiter.ErrConcurrency) {
+		code = encoder.CodeConcurrency
+	}
+	p := newProblem(http.StatusTooManyRequests, code, "limit", err.Error())
+	p.RetryAfter = wait
+	return p
+}
+
+// count adds the outcome to the service-level history and the metrics.
+func (s *Server) count(req *dispatcher.Request, outcome dispatcher.Outcome) {
+	result, good := "gone", true
+	switch o := outcome.(type) {
+	case *dispatcher.Completed:
+		result = "completed"
+		good = o.Status < http.StatusInternalServerError && o.FirstByte <= req.Service.Objective.FirstByte
+	case *dispatcher.Refused:
+		result = o.Code
+		good = o.Code == encoder.CodeKeyReused || o.Code == encoder.CodeCulprit
+	case *dispatcher.CallerGone:
+	}
+	classes := s.book.Get().Ranking.Classes
+	class := classes[min(req.Priority, len(classes)-1)].Name
+	s.burn.Add(burner.Key{Service: req.Service.Name, Class: class}, good, time.Now())
+	countRequest(req, result)
+}
+
+func countRequest(req *dispatcher.Request, result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_requests_total{service=%q,result=%q}`, req.Service.Name, result)).Inc()
+}
+
+// callerSink writes an answer to a caller.
+type callerSink struct {
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	stream bool
+}
+
+// SendHead implements dispatcher.Sink.
+func (c *callerSink) SendHead(status int, headers []*encoder.Header, replayed bool) error {
+	for _, h := range headers {
+		if h.GetName() == "X-Attempt-Id" {
+			continue
+		}
+		c.w.Header().Set(h.GetName(), h.GetValue())
+		c.stream = c.stream || h.GetName() == "Content-Type" && h.GetValue() == "text/event-stream"
+	}
+	if replayed {
+		c.w.Header().Set(headerReplayed, "true")
+	}
+	c.w.WriteHeader(status)
+	return nil
+}
+
+// SendData implements dispatcher.Sink.
+func (c *callerSink) SendData(data []byte) error {
+	if _, err := c.w.Write(data); err != nil {
+		return err
+	}
+	if c.stream {
+		return c.rc.Flush()
+	}
+	return nil
+}
+
+// abort ends an answer that cannot be completed: with an error event where the
+// caller reads a stream, and always with a broken body, never a clean end.
+func (c *callerSink) abort(p *Problem, id string) {
+	if c.stream {
+		data, err := json.Marshal(p.withID(id))
+		if err == nil {
+			_, _ = fmt.Fprintf(c.w, "event: error\ndata: %s\n\n", data)
+		}
+	}
+	_ = c.rc.Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/report/burner/report.go
@@ -0,0 +1,113 @@
+package burner
+
+import (
+	"sort"
+	"time"
+)
+
+// Goal is the objective of a service.
+type Goal struct {
+	// Availability is the fraction of good requests, below 1.
+	Availability float64 `json:"availability"`
+}
+
+// WindowBurn is what happened in one window.
+type WindowBurn struct {
+	Window string `json:"window"`
+	Total  uint64 `json:"total"`
+	Bad    uint64 `json:"bad"`
+	// BadFraction is Bad over Total, 0 without requests.
+	BadFraction float64 `json:"bad_fraction"`
+	// BurnRate is BadFraction over the fraction that the objective allows; at 1
+	// the budget is spent exactly.
+	BurnRate float64 `json:"burn_rate"`
+}
+
+// Burn is the report on one service and class of work.
+type Burn struct {
+	Key
+	Objective float64      `json:"objective"`
+	Windows   []WindowBurn `json:"windows"`
+	// BudgetLeft is the fraction of the longest window's budget that is left;
+	// it is negative once more than the budget was spent.
+	BudgetLeft float64 `json:"budget_left"`
+	// Hourly is the bad fraction of each of the last 72 hours, oldest first.
+	Hourly []float64 `json:"hourly_bad_fraction"`
+}
+
+// Report sums the histories of several instances.
+type Report struct {
+	Time  time.Time `json:"time"`
+	Burns []Burn    `json:"burns"`
+	// Reached and Missing name the instances that were asked.
+	Reached []string `json:"reached"`
+	Missing []string `json:"missing"`
+}
+
+// NewReport computes the burn of summed histories. A service without a goal is
+// left out.
+func NewReport(series []Series, goals map[string]Goal, now time.Time) *Report {
+	sums := make(map[Key][]Count)
+	for _, s := range series {
+		sums[s.Key] = append(sums[s.Key], s.Counts...)
+	}
+	r := &Report{Time: now.UTC(), Burns: []Burn{}}
+	for key, counts := range sums {
+		goal, ok := goals[key.Service]
+		if ok {
+			r.Burns = append(r.Burns, newBurn(key, goal, counts, now))
+		}
+	}
+	sort.Slice(r.Burns, func(i, j int) bool {
+		a, b := r.Burns[i].Key, r.Burns[j].Key
+		return a.Service < b.Service || a.Service == b.Service && a.Class < b.Class
+	})
+	return r
+}
+
+func newBurn(key Key, goal Goal, counts []Count, now time.Time) Burn {
+	b := Burn{Key: key, Objective: goal.Availability, BudgetLeft: 1, Hourly: hourly(counts, now)}
+	for _, window := range Windows {
+		w := sumWindow(counts, window, now)
+		if w.Total > 0 {
+			w.BadFraction = float64(w.Bad) / float64(w.Total)
+			w.BurnRate = w.BadFraction / (1 - goal.Availability)
+		}
+		b.Windows = append(b.Windows, w)
+		b.BudgetLeft = 1 - w.BurnRate
+	}
+	return b
+}
+
+func sumWindow(counts []Count, window time.Duration, now time.Time) WindowBurn {
+	w := WindowBurn{Window: window.String()}
+	last := minuteOf(now)
+	first := last - int64(window/cell) + 1
+	for _, c := range counts {
+		if c.Minute >= first && c.Minute <= last {
+			w.Total += uint64(c.Total)
+			w.Bad += uint64(c.Bad)
+		}
+	}
+	return w
+}
+
+func hourly(counts []Count, now time.Time) []float64 {
+	const hours = 72
+	var total, bad [hours]float64
+	last := minuteOf(now)
+	for _, c := range counts {
+		i := hours - 1 - (last-c.Minute)/60
+		if i >= 0 && i < hours {
+			total[i] += float64(c.Total)
+			bad[i] += float64(c.Bad)
+		}
+	}
+	list := make([]float64, hours)
+	for i := range list {
+		if total[i] > 0 {
+			list[i] = bad[i] / total[i]
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/settings/loader/loader.go
@@ -0,0 +1,168 @@
+package loader
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"go.yaml.in/yaml/v3"
+
+	"siskinfall/internal/fault/wrapper"
+)
+
+// Problem is one mistake in a settings file.
+type Problem struct {
+	// Line is 0 where the mistake has no line.
+	Line int    `json:"line"`
+	Text string `json:"text"`
+}
+
+// InvalidError lists every mistake of a settings file.
+type InvalidError struct {
+	// Problems is sorted by line and not empty.
+	Problems []Problem
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, fmt.Sprintf("line %d: %s", p.Line, p.Text))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// IsInvalid reports whether err lists mistakes of a settings file.
+func IsInvalid(err error) bool {
+	var e *InvalidError
+	return errors.As(err, &e)
+}
+
+// Load reads and checks the file at path.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, wrapper.At("read_settings", "", err)
+	}
+	return Parse(data)
+}
+
+// Parse checks data over the defaults. All mistakes are told at once.
+func Parse(data []byte) (*Settings, error) {
+	var root yaml.Node
+	if err := yaml.Unmarshal(data, &root); err != nil {
+		return nil, &InvalidError{Problems: []Problem{{Text: err.Error()}}}
+	}
+	s := NewSettings()
+	problems := decodeStrict(data, s)
+	problems = append(problems, checkValues(s, &root)...)
+	if len(problems) == 0 {
+		return s, nil
+	}
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
+	return nil, &InvalidError{Problems: problems}
+}
+
+func decodeStrict(data []byte, s *Settings) []Problem {
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	err := dec.Decode(s)
+	if err == nil || errors.Is(err, io.EOF) {
+		return nil
+	}
+	var typeErr *yaml.TypeError
+	if !errors.As(err, &typeErr) {
+		return []Problem{{Text: err.Error()}}
+	}
+	problems := make([]Problem, 0, len(typeErr.Errors))
+	for _, text := range typeErr.Errors {
+		problems = append(problems, parseTypeError(fmt.Sprint(text)))
+	}
+	return problems
+}
+
+func parseTypeError(text string) Problem {
+	var line int
+	if _, err := fmt.Sscanf(text, "line %d:", &line); err != nil {
+		return Problem{Text: text}
+	}
+	_, rest, _ := strings.Cut(text, ": ")
+	return Problem{Line: line, Text: rest}
+}
+
+func checkValues(s *Settings, root *yaml.Node) []Problem {
+	v := validator.New()
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
+	err := v.Struct(s)
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		return nil
+	}
+	problems := make([]Problem, 0, len(fields))
+	for _, f := range fields {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		problems = append(problems, Problem{
+			Line: findLine(root, strings.Split(path, ".")),
+			Text: fmt.Sprintf("%s: %v breaks rule %s", path, f.Value(), ruleText(f)),
+		})
+	}
+	return problems
+}
+
+func ruleText(f validator.FieldError) string {
+	if f.Param() == "" {
+		return f.Tag()
+	}
+	return f.Tag() + "=" + f.Param()
+}
+
+// findLine returns the line of the key at path, or of its nearest parent.
+func findLine(n *yaml.Node, path []string) int {
+	if n.Kind == yaml.DocumentNode && len(n.Content) > 0 {
+		n = n.Content[0]
+	}
+	if len(path) == 0 || n.Kind != yaml.MappingNode {
+		return n.Line
+	}
+	name, _, _ := strings.Cut(path[0], "[")
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		if n.Content[i].Value == name {
+			return max(n.Content[i].Line, findLine(n.Content[i+1], path[1:]))
+		}
+	}
+	return n.Line
+}
+
+// WriteDefaults writes the default file with a comment on each key.
+func WriteDefaults(w io.Writer) error {
+	var node yaml.Node
+	if err := node.Encode(NewSettings()); err != nil {
+		return wrapper.At("encode_settings", "", err)
+	}
+	addComments(&node, reflect.TypeFor[Settings]())
+	enc := yaml.NewEncoder(w)
+	enc.SetIndent(2)
+	return wrapper.At("write_settings", "", enc.Encode(&node))
+}
+
+func addComments(n *yaml.Node, t reflect.Type) {
+	if n.Kind != yaml.MappingNode || t.Kind() != reflect.Struct {
+		return
+	}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		for j := 0; j+1 < len(n.Content); j += 2 {
+			if n.Content[j].Value != f.Tag.Get("yaml") {
+				continue
+			}
+			n.Content[j].HeadComment = f.Tag.Get("comment")
+			addComments(n.Content[j+1], f.Type)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/loader/settings.go
@@ -0,0 +1,114 @@
+// Package loader reads the settings file of a process and checks it.
+package loader
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings is the whole settings file.
+type Settings struct {
+	// Instance is unique among all instances.
+	Instance string `yaml:"instance" validate:"required,max=64" comment:"name of this instance, unique in the fleet"`
+	// Zone names the availability zone this instance is in.
+	Zone     string   `yaml:"availability_zone" validate:"required,max=64" comment:"availability zone of this instance"`
+	Listen   Listen   `yaml:"listen" comment:"addresses, all as IP number and port"`
+	Platform Platform `yaml:"platform" comment:"the platform's table service, object store and instance list"`
+	Log      Log      `yaml:"log" comment:"structured logs on standard error"`
+	Entry    Entry    `yaml:"entry" comment:"used by the entry command only"`
+	Agent    Agent    `yaml:"agent" comment:"used by the agent command only"`
+}
+
+// Listen holds the addresses that the process binds.
+type Listen struct {
+	Callers netip.AddrPort `yaml:"callers" comment:"entry: requests of client accounts (HTTP)"`
+	Admin   netip.AddrPort `yaml:"admin" comment:"operators, metrics, health (HTTP)"`
+	Peers   netip.AddrPort `yaml:"peers" comment:"other processes of siskinfall (yamux)"`
+}
+
+// Platform says where the platform is.
+type Platform struct {
+	Address netip.AddrPort `yaml:"address" comment:"address of the platform"`
+	Timeout time.Duration  `yaml:"timeout" validate:"min=10ms,max=30s" comment:"longest wait for one call"`
+}
+
+// Log configures the log.
+type Log struct {
+	Level  string `yaml:"level" validate:"oneof=debug info warn error" comment:"debug, info, warn or error"`
+	Format string `yaml:"format" validate:"oneof=text json" comment:"text or json"`
+}
+
+// Entry configures an entry instance.
+type Entry struct {
+	DrainTimeout time.Duration `yaml:"drain_timeout" validate:"min=1s,max=1h" comment:"longest wait for requests in flight at shutdown"`
+	PollInterval time.Duration `yaml:"poll_interval" validate:"min=50ms,max=1m" comment:"how often configuration and instance list are read"`
+	SyncInterval time.Duration `yaml:"sync_interval" validate:"min=50ms,max=1m" comment:"how often state is exchanged with a peer"`
+	Heartbeat    time.Duration `yaml:"heartbeat" validate:"min=50ms,max=1s" comment:"interval of the agents' reports; 2.5 of them missing make an agent lost"`
+	// SeedPeers need not live; the first that answers is used.
+	SeedPeers     []netip.AddrPort `yaml:"seed_peers" comment:"entry instances to ask while the platform is down"`
+	ZoneHop       time.Duration    `yaml:"zone_hop" validate:"min=0,max=1s" comment:"one-way latency between availability zones"`
+	ClientHop     time.Duration    `yaml:"client_hop" validate:"min=0,max=1s" comment:"one-way latency to clients"`
+	Candidates    int              `yaml:"candidates" validate:"min=1,max=64" comment:"backend servers compared for one request"`
+	RemoteAgents  int              `yaml:"remote_agents" validate:"min=0,max=1024" comment:"agents watched in each other availability zone; 0 watches all"`
+	OperatorKeys  []OperatorKey    `yaml:"operator_keys" validate:"dive" comment:"keys of operators; without any, only loopback may operate"`
+	MaxBody       int              `yaml:"max_body_bytes" validate:"min=1024,max=4194304" comment:"largest request body"`
+	ExplainRecent int              `yaml:"explain_recent" validate:"min=16,max=100000" comment:"requests kept for explain"`
+}
+
+// OperatorKey is a key of an operator, kept as a hash.
+type OperatorKey struct {
+	Name string `yaml:"name" validate:"required" comment:"name of the operator"`
+	// Hash is the SHA-256 of the key in hexadecimal.
+	Hash string `yaml:"sha256" validate:"len=64,hexadecimal" comment:"SHA-256 of the key"`
+	Role string `yaml:"role" validate:"oneof=reader operator" comment:"reader or operator"`
+}
+
+// Agent configures an agent.
+type Agent struct {
+	Service       string         `yaml:"service" comment:"service that the backend server offers"`
+	Group         string         `yaml:"group" comment:"expert-parallel model group of the backend server; empty for plain services"`
+	Backend       netip.AddrPort `yaml:"backend" comment:"address of the backend server"`
+	DrainTimeout  time.Duration  `yaml:"drain_timeout" validate:"min=1s,max=1h" comment:"longest wait for requests in flight at shutdown"`
+	Concurrency   int            `yaml:"concurrency" validate:"min=1,max=4096" comment:"requests run at once"`
+	QueueRequests int            `yaml:"queue_requests" validate:"min=0,max=65536" comment:"requests queued at most"`
+	QueueBytes    int            `yaml:"queue_bytes" validate:"min=0" comment:"request bytes queued at most"`
+	HealthPeriod  time.Duration  `yaml:"health_interval" validate:"min=50ms,max=1m" comment:"how often the backend server is checked"`
+}
+
+// NewSettings returns the defaults.
+func NewSettings() *Settings {
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	return &Settings{
+		Instance: "entry-1",
+		Zone:     "zone-a",
+		Listen: Listen{
+			Callers: netip.AddrPortFrom(loopback, 8080),
+			Admin:   netip.AddrPortFrom(loopback, 8081),
+			Peers:   netip.AddrPortFrom(loopback, 8082),
+		},
+		Platform: Platform{Address: netip.AddrPortFrom(loopback, 9000), Timeout: 2 * time.Second},
+		Log:      Log{Level: "info", Format: "text"},
+		Entry: Entry{
+			DrainTimeout:  time.Minute,
+			PollInterval:  time.Second,
+			SyncInterval:  time.Second,
+			Heartbeat:     time.Second,
+			SeedPeers:     []netip.AddrPort{},
+			ZoneHop:       500 * time.Microsecond,
+			ClientHop:     time.Millisecond,
+			Candidates:    4,
+			RemoteAgents:  0,
+			OperatorKeys:  []OperatorKey{},
+			MaxBody:       1 << 20,
+			ExplainRecent: 2000,
+		},
+		Agent: Agent{
+			Backend:       netip.AddrPortFrom(loopback, 9100),
+			DrainTimeout:  time.Minute,
+			Concurrency:   32,
+			QueueRequests: 256,
+			QueueBytes:    16 << 20,
+			HealthPeriod:  500 * time.Millisecond,
+		},
+	}
+}
--- /dev/null
+++ b/internal/standin/responder/responder.go
@@ -0,0 +1,356 @@
+// Package responder is a stand-in for a backend server: a model engine that
+// streams deterministic tokens, and a plain service that counts what it runs.
+package responder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"siskinfall/internal/agent/driver"
+)
+
+// Faults are the switches of a Responder.
+type Faults struct {
+	// Poison crashes the responder when a request body contains it.
+	Poison string `json:"poison"`
+	// Latency is added before each answer.
+	Latency time.Duration `json:"latency_nanoseconds"`
+	// TokenDelay is the time between two tokens.
+	TokenDelay time.Duration `json:"token_delay_nanoseconds"`
+	// BreakAfter n cuts the connection of each stream after n tokens.
+	BreakAfter int `json:"break_after"`
+	// Stall holds every answer back until it is cleared.
+	Stall bool `json:"stall"`
+}
+
+// Run is one request that the plain service has run.
+type Run struct {
+	Attempt string `json:"attempt"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	// Key is the Idempotency-Key header.
+	Key  string `json:"key"`
+	Body string `json:"body"`
+}
+
+// Responder is a stand-in backend server; it is safe for concurrent use.
+type Responder struct {
+	mu     sync.Mutex
+	faults Faults
+	runs   []Run
+	// seen counts every request, model requests too.
+	seen    int
+	crashes int
+	boot    string
+	onCrash func()
+	running atomic.Int64
+}
+
+// Option configures a Responder.
+type Option func(*Responder)
+
+// WithCrash sets what a crash does; it must break all connections.
+func WithCrash(f func()) Option {
+	return func(s *Responder) { s.onCrash = f }
+}
+
+// WithFaults sets the switches.
+func WithFaults(f Faults) Option {
+	return func(s *Responder) { s.faults = f }
+}
+
+// New returns a Responder.
+func New(opts ...Option) *Responder {
+	s := &Responder{boot: newBoot()}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+func newBoot() string { return fmt.Sprintf("%d", time.Now().UnixNano()) }
+
+// SetFaults replaces the switches.
+func (s *Responder) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// GetRuns returns what the plain service has run.
+func (s *Responder) GetRuns() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// GetCrashes returns how often the responder has crashed.
+func (s *Responder) GetCrashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
+// GetRunning returns the number of requests that run now.
+func (s *Responder) GetRunning() int { return int(s.running.Load()) }
+
+func (s *Responder) getFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Handler returns the HTTP interface.
+func (s *Responder) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.GetRuns()) })
+	mux.HandleFunc("PUT /faults", s.putFaults)
+	mux.HandleFunc("POST /v1/chat/completions", s.complete)
+	mux.HandleFunc("POST /v1/resume", s.resume)
+	mux.HandleFunc("/", s.plain)
+	return mux
+}
+
+func (s *Responder) health(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	h := driver.Health{Boot: s.boot}
+	s.mu.Unlock()
+	writeJSON(w, h)
+}
+
+func (s *Responder) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+// begin counts the request, and crashes or waits as the switches say.
+func (s *Responder) begin(r *http.Request, body []byte) {
+	f := s.getFaults()
+	if f.Poison != "" && strings.Contains(string(body), f.Poison) {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if f.Latency > 0 {
+		sleep(r.Context(), f.Latency)
+	}
+	for s.getFaults().Stall && r.Context().Err() == nil {
+		sleep(r.Context(), 10*time.Millisecond)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Responder) crash() {
+	s.mu.Lock()
+	s.crashes++
+	s.boot = newBoot()
+	s.mu.Unlock()
+	if s.onCrash != nil {
+		s.onCrash()
+	}
+}
+
+// completion is the part of a chat request that the stand-in reads.
+type completion struct {
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+func (s *Responder) complete(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.answer(w, r, body, 0)
+}
+
+func (s *Responder) resume(w http.ResponseWriter, r *http.Request) {
+	var b driver.ResumeBody
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.answer(w, r, b.Request, strings.Count(string(b.Prefix), "\n\n"))
+}
+
+func (s *Responder) answer(w http.ResponseWriter, r *http.Request, body []byte, from int) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	s.begin(r, body)
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if c.MaxTokens <= 0 {
+		c.MaxTokens = 16
+	}
+	seed := xxhash.Sum64(c.Messages)
+	if !c.Stream {
+		s.answerWhole(w, r, seed, c.MaxTokens)
+		return
+	}
+	s.answerStream(w, r, seed, from, c.MaxTokens)
+}
+
+func (s *Responder) answerWhole(w http.ResponseWriter, r *http.Request, seed uint64, n int) {
+	var text strings.Builder
+	for i := range n {
+		sleep(r.Context(), s.getFaults().TokenDelay)
+		text.WriteString(Token(seed, i))
+	}
+	writeJSON(w, map[string]any{"choices": []any{map[string]any{"message": map[string]string{"content": text.String()}}}})
+}
+
+func (s *Responder) answerStream(w http.ResponseWriter, r *http.Request, seed uint64, from, n int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from; i < n; i++ {
+		f := s.getFaults()
+		if f.BreakAfter > 0 && i-from >= f.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if r.Context().Err() != nil {
+			return
+		}
+		if f.TokenDelay > 0 {
+			sleep(r.Context(), f.TokenDelay)
+		}
+		_, _ = io.WriteString(w, Event(seed, i))
+		w.(http.Flusher).Flush()
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// Token is the i-th token of the answer to a prompt with hash seed.
+func Token(seed uint64, i int) string {
+	return fmt.Sprintf("t%x ", (seed+uint64(i)*2654435761)%65521)
+}
+
+// Event is the server-sent event that carries a token.
+func Event(seed uint64, i int) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", Token(seed, i))
+}
+
+// ExpectedStream is the whole stream for the messages of a request.
+func ExpectedStream(messages string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Event(xxhash.Sum64String(messages), i))
+	}
+	b.WriteString("data: [DONE]\n\n")
+	return b.String()
+}
+
+func (s *Responder) plain(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	run := Run{
+		Attempt: r.Header.Get("X-Attempt-Id"), Method: r.Method, Path: r.URL.Path,
+		Key: r.Header.Get("Idempotency-Key"), Body: string(body),
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, run)
+	n := len(s.runs)
+	s.mu.Unlock()
+	s.begin(r, body)
+	writeJSON(w, map[string]any{"confirmation": fmt.Sprintf("%s-%d", s.boot[len(s.boot)-6:], n), "echo": string(body)})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Server runs a Responder on an address and restarts it after a crash.
+type Server struct {
+	*Responder
+	addr netip.AddrPort
+	// Downtime is how long the address refuses connections after a crash.
+	Downtime time.Duration
+
+	mu     sync.Mutex
+	server *http.Server
+	closed bool
+}
+
+// NewServer listens on addr (port 0 picks one) and serves.
+func NewServer(addr netip.AddrPort, opts ...Option) (*Server, error) {
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{addr: ln.Addr().(*net.TCPAddr).AddrPort(), Downtime: 100 * time.Millisecond}
+	s.Responder = New(append(opts, WithCrash(s.restart))...)
+	s.serve(ln)
+	return s, nil
+}
+
+// Addr returns the address.
+func (s *Server) Addr() netip.AddrPort { return s.addr }
+
+func (s *Server) serve(ln net.Listener) {
+	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Minute}
+	s.mu.Lock()
+	s.server = srv
+	s.mu.Unlock()
+	go func() { _ = srv.Serve(ln) }()
+}
+
+// restart breaks all connections and listens again after Downtime.
+func (s *Server) restart() {
+	s.mu.Lock()
+	srv := s.server
+	s.mu.Unlock()
+	_ = srv.Close()
+	time.AfterFunc(s.Downtime, func() {
+		s.mu.Lock()
+		closed := s.closed
+		s.mu.Unlock()
+		ln, err := net.Listen("tcp", s.addr.String())
+		if closed || err != nil {
+			return
+		}
+		s.serve(ln)
+	})
+}
+
+// Close stops the server.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	err := s.server.Close()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/standin/starter/starter.go
@@ -0,0 +1,197 @@
+// Package starter runs a whole small fleet in one process: platform, entry
+// instances, agents and backend servers. It serves the dev command and tests.
+package starter
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/launcher"
+	"siskinfall/internal/routing/tracker"
+	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/standin/keeper"
+	"siskinfall/internal/standin/responder"
+)
+
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+// AnyPort is a loopback address whose port the system picks.
+var AnyPort = netip.AddrPortFrom(loopback, 0)
+
+// FreePort returns a loopback address that is free now.
+func FreePort() (netip.AddrPort, error) {
+	ln, err := net.Listen("tcp", AnyPort.String())
+	if err != nil {
+		return netip.AddrPort{}, wrapper.At("listen", AnyPort.String(), err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// Process is one entry instance or agent of a fleet.
+type Process struct {
+	Settings *loader.Settings
+	Role     string
+	// Backend is the stand-in behind an agent, nil for an entry instance.
+	Backend *responder.Server
+	stop    context.CancelFunc
+	kill    context.CancelFunc
+	// err is valid once done is closed.
+	err  error
+	done chan struct{}
+}
+
+// Stop ends the process gracefully and waits for it.
+func (p *Process) Stop() error {
+	p.stop()
+	<-p.done
+	return p.err
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.kill()
+	p.stop()
+	<-p.done
+}
+
+// Fleet is a running fleet. Its methods are for one goroutine.
+type Fleet struct {
+	Keeper    *keeper.Keeper
+	Platform  netip.AddrPort
+	Processes map[string]*Process
+	server    *http.Server
+	adjust    func(*loader.Settings)
+	wg        sync.WaitGroup
+}
+
+// Option configures a Fleet.
+type Option func(*Fleet)
+
+// WithSettings lets f change the settings of each process before its start.
+func WithSettings(f func(*loader.Settings)) Option {
+	return func(fl *Fleet) { fl.adjust = f }
+}
+
+// New starts a platform and returns a Fleet without instances.
+func New(opts ...Option) (*Fleet, error) {
+	ln, err := net.Listen("tcp", AnyPort.String())
+	if err != nil {
+		return nil, wrapper.At("listen", AnyPort.String(), err)
+	}
+	f := &Fleet{
+		Keeper: keeper.New(), Platform: ln.Addr().(*net.TCPAddr).AddrPort(), Processes: make(map[string]*Process),
+		adjust: func(*loader.Settings) {},
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	f.server = &http.Server{Handler: f.Keeper.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = f.server.Serve(ln) }()
+	return f, nil
+}
+
+// AddEntry starts an entry instance.
+func (f *Fleet) AddEntry(name, zone string) (*Process, error) {
+	cfg, err := f.newSettings(name, zone)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Entry.PollInterval = 200 * time.Millisecond
+	cfg.Entry.SyncInterval = 200 * time.Millisecond
+	cfg.Entry.Heartbeat = 200 * time.Millisecond
+	return f.start(cfg, tracker.RoleEntry, nil), nil
+}
+
+// AddAgent starts an agent with a backend server behind it.
+func (f *Fleet) AddAgent(name, zone, service, group string, faults responder.Faults) (*Process, error) {
+	backend, err := responder.NewServer(AnyPort, responder.WithFaults(faults))
+	if err != nil {
+		return nil, wrapper.At("start_backend", name, err)
+	}
+	cfg, err := f.newSettings(name, zone)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Agent.Service, cfg.Agent.Group, cfg.Agent.Backend = service, group, backend.Addr()
+	cfg.Agent.HealthPeriod = 100 * time.Millisecond
+	return f.start(cfg, tracker.RoleAgent, backend), nil
+}
+
+func (f *Fleet) newSettings(name, zone string) (*loader.Settings, error) {
+	cfg := loader.NewSettings()
+	cfg.Instance, cfg.Zone = name, zone
+	cfg.Platform.Address = f.Platform
+	for _, addr := range []*netip.AddrPort{&cfg.Listen.Callers, &cfg.Listen.Admin, &cfg.Listen.Peers} {
+		free, err := FreePort()
+		if err != nil {
+			return nil, err
+		}
+		*addr = free
+	}
+	return cfg, nil
+}
+
+func (f *Fleet) start(cfg *loader.Settings, role string, backend *responder.Server) *Process {
+	f.adjust(cfg)
+	graceful, stop := context.WithCancel(context.Background())
+	forced, kill := context.WithCancel(context.Background())
+	p := &Process{Settings: cfg, Role: role, Backend: backend, stop: stop, kill: kill, done: make(chan struct{})}
+	run := launcher.RunEntry
+	if role == tracker.RoleAgent {
+		run = launcher.RunAgent
+	}
+	f.wg.Go(func() {
+		defer close(p.done)
+		p.err = run(launcher.Stop{Graceful: graceful, Forced: forced}, cfg)
+		if p.err != nil {
+			log.Debug("process ended", "instance", cfg.Instance, "error", p.err)
+		}
+	})
+	f.Processes[cfg.Instance] = p
+	f.Keeper.SetInstance(storer.Instance{Name: cfg.Instance, Role: role, Zone: cfg.Zone, Address: cfg.Listen.Peers})
+	return p
+}
+
+// Restart starts a killed process again with the same settings.
+func (f *Fleet) Restart(p *Process) *Process {
+	return f.start(p.Settings, p.Role, p.Backend)
+}
+
+// Close kills every process and the platform.
+func (f *Fleet) Close() {
+	for _, p := range f.Processes {
+		p.Kill()
+		if p.Backend != nil {
+			_ = p.Backend.Close()
+		}
+	}
+	f.wg.Wait()
+	_ = f.server.Close()
+}
+
+// WaitFor calls f until it returns nil or ctx ends.
+func WaitFor(ctx context.Context, f func() error) error {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w, last: %w", ctx.Err(), err)
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/connector/acceptor.go
@@ -0,0 +1,86 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"github.com/hashicorp/yamux"
+
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/wire/encoder"
+)
+
+// Handler serves one stream whose first frame was open. The stream is closed
+// when Handler returns.
+type Handler func(ctx context.Context, peer *encoder.Hello, open *encoder.Open, s *Stream)
+
+// Acceptor accepts sessions of peers.
+type Acceptor struct {
+	own     *encoder.Hello
+	handler Handler
+	wg      sync.WaitGroup
+}
+
+// NewAcceptor returns an Acceptor that introduces itself with own.
+func NewAcceptor(own *encoder.Hello, handler Handler) *Acceptor {
+	return &Acceptor{own: own, handler: handler}
+}
+
+// Serve accepts sessions on ln until ctx ends, then closes them all and waits
+// for the handlers.
+func (a *Acceptor) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	defer a.wg.Wait()
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return wrapper.At("accept", ln.Addr().String(), err)
+		}
+		a.wg.Go(func() { a.serveConn(ctx, conn) })
+	}
+}
+
+func (a *Acceptor) serveConn(ctx context.Context, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer func() { _ = conn.Close() }()
+	counted := &countedConn{Conn: conn}
+	peer, err := handshake(counted, a.own, false)
+	if err != nil {
+		log.Warn("session refused", "step", "handshake", "peer", conn.RemoteAddr(), "error", err)
+		return
+	}
+	session, err := yamux.Server(counted, newConfig())
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	for {
+		st, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		a.wg.Go(func() { a.serveStream(ctx, peer, st) })
+	}
+}
+
+func (a *Acceptor) serveStream(ctx context.Context, peer *encoder.Hello, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	s := &Stream{conn: conn, reader: encoder.NewReader(conn), peer: peer.GetInstance()}
+	open := &encoder.Open{}
+	if err := s.Receive(open); err != nil {
+		if !errors.Is(err, net.ErrClosed) {
+			log.Warn("bad first frame", "error", err)
+		}
+		return
+	}
+	a.handler(ctx, peer, open, s)
+}
--- /dev/null
+++ b/internal/wire/connector/connector.go
@@ -0,0 +1,236 @@
+// Package connector keeps one yamux session for each pair of processes and
+// opens protobuf streams on it.
+package connector
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/wire/encoder"
+)
+
+// Timeouts of a session.
+const (
+	handshakeTimeout = 3 * time.Second
+	keepAlive        = 10 * time.Second
+	writeTimeout     = 5 * time.Second
+)
+
+// Stream is one exchange of messages with a peer.
+type Stream struct {
+	conn   net.Conn
+	reader *encoder.Reader
+	// peer is the name of the instance at the other end.
+	peer string
+}
+
+// Peer returns the name of the instance at the other end.
+func (s *Stream) Peer() string { return s.peer }
+
+// Close ends the stream in both directions.
+func (s *Stream) Close() error { return s.conn.Close() }
+
+// SetReadDeadline bounds the wait for the next message.
+func (s *Stream) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
+
+// SetWriteDeadline bounds the wait for the peer's flow control.
+func (s *Stream) SetWriteDeadline(t time.Time) error { return s.conn.SetWriteDeadline(t) }
+
+// Stats counts the bytes of all sessions of a process.
+type Stats struct {
+	Sent     uint64
+	Received uint64
+}
+
+func newConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.AcceptBacklog = 4096
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// handshake exchanges Hello frames. The dialer speaks first.
+func handshake(conn net.Conn, own *encoder.Hello, first bool) (*encoder.Hello, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, err
+	}
+	peer := &encoder.Hello{}
+	steps := []func() error{
+		func() error { return encoder.Write(conn, own) },
+		func() error { return readHello(conn, peer) },
+	}
+	if !first {
+		steps[0], steps[1] = steps[1], steps[0]
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	if peer.GetVersion() != encoder.Version {
+		return nil, fmt.Errorf("protocol version %d, want %d", peer.GetVersion(), encoder.Version)
+	}
+	return peer, conn.SetDeadline(time.Time{})
+}
+
+// readHello reads byte by byte so that nothing behind the frame is consumed.
+func readHello(conn net.Conn, m *encoder.Hello) error {
+	return encoder.NewReader(&oneByteReader{r: conn}).Read(m)
+}
+
+type oneByteReader struct{ r io.Reader }
+
+func (o *oneByteReader) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	return o.r.Read(p[:1])
+}
+
+// Pool dials peers and keeps one session to each.
+type Pool struct {
+	own *encoder.Hello
+	mu  sync.Mutex
+	// links holds at most one entry for each address.
+	links  map[netip.AddrPort]*link
+	closed bool
+}
+
+// link is one session, or the attempt to get it.
+type link struct {
+	mu sync.Mutex
+	// session is nil until a dial succeeds.
+	session *yamux.Session
+	hello   *encoder.Hello
+}
+
+// NewPool returns a Pool that introduces itself with own.
+func NewPool(own *encoder.Hello) *Pool {
+	return &Pool{own: own, links: make(map[netip.AddrPort]*link)}
+}
+
+// Open opens a stream to addr and sends its first frame.
+func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, open *encoder.Open) (*Stream, error) {
+	session, hello, err := p.getSession(ctx, addr)
+	if err != nil {
+		return nil, wrapper.At("dial", addr.String(), err)
+	}
+	conn, err := session.OpenStream()
+	if err != nil {
+		p.Drop(addr)
+		return nil, wrapper.At("open_stream", hello.GetInstance(), err)
+	}
+	s := &Stream{conn: conn, reader: encoder.NewReader(conn), peer: hello.GetInstance()}
+	if err := s.Send(open); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Call opens a stream, sends one frame and reads one answer into m.
+func (p *Pool) Call(ctx context.Context, addr netip.AddrPort, open *encoder.Open, m Message) error {
+	s, err := p.Open(ctx, addr, open)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = s.SetReadDeadline(deadline)
+	}
+	return s.Receive(m)
+}
+
+// Drop closes the session to addr, and with it every stream on it.
+func (p *Pool) Drop(addr netip.AddrPort) {
+	p.mu.Lock()
+	l := p.links[addr]
+	delete(p.links, addr)
+	p.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil {
+		_ = l.session.Close()
+	}
+}
+
+// Close closes all sessions.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	addrs := make([]netip.AddrPort, 0, len(p.links))
+	for addr := range p.links {
+		addrs = append(addrs, addr)
+	}
+	p.mu.Unlock()
+	for _, addr := range addrs {
+		p.Drop(addr)
+	}
+}
+
+func (p *Pool) getLink(addr netip.AddrPort) (*link, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, net.ErrClosed
+	}
+	l := p.links[addr]
+	if l == nil {
+		l = &link{}
+		p.links[addr] = l
+	}
+	return l, nil
+}
+
+func (p *Pool) getSession(ctx context.Context, addr netip.AddrPort) (*yamux.Session, *encoder.Hello, error) {
+	l, err := p.getLink(addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil && !l.session.IsClosed() {
+		return l.session, l.hello, nil
+	}
+	session, hello, err := dial(ctx, addr, p.own)
+	if err != nil {
+		return nil, nil, err
+	}
+	l.session, l.hello = session, hello
+	return session, hello, nil
+}
+
+func dial(ctx context.Context, addr netip.AddrPort, own *encoder.Hello) (*yamux.Session, *encoder.Hello, error) {
+	d := net.Dialer{Timeout: handshakeTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, nil, err
+	}
+	counted := &countedConn{Conn: conn}
+	hello, err := handshake(counted, own, true)
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, wrapper.At("handshake", addr.String(), err)
+	}
+	session, err := yamux.Client(counted, newConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
+	return session, hello, nil
+}
--- /dev/null
+++ b/internal/wire/encoder/code.go
@@ -0,0 +1,31 @@
+package encoder
+
+// Codes of refusals, stable towards callers.
+const (
+	CodeLeaving          = "leaving"
+	CodeBusy             = "busy"
+	CodeTooLate          = "deadline_exceeded"
+	CodeConfigBehind     = "configuration_behind"
+	CodeConfigStale      = "configuration_stale"
+	CodeIsolationBusy    = "isolation_busy"
+	CodeBackendError     = "backend_error"
+	CodeBroken           = "answer_broken"
+	CodeCrashed          = "backend_crashed"
+	CodeCulprit          = "request_crashes_backend"
+	CodeStoreUnavailable = "store_unavailable"
+	CodeKeyReused        = "key_reused"
+	CodeClosed           = "generation_closed"
+	CodeOutcomeUnknown   = "outcome_unknown"
+	CodeNoBackend        = "no_backend"
+	CodeRetryBudget      = "retry_budget_spent"
+	CodeRateLimited      = "rate_limited"
+	CodeConcurrency      = "concurrency_limited"
+	CodeUnauthorized     = "unauthorized"
+	CodeForbidden        = "forbidden"
+	CodeNotFound         = "not_found"
+	CodeBadRequest       = "bad_request"
+	CodeTooLarge         = "body_too_large"
+	CodeKeyRequired      = "key_required"
+	CodeDraining         = "draining"
+	CodeNotReady         = "not_ready"
+)
