--- /dev/null
+++ b/internal/expert/evaluator/evaluator_test.go
@@ -0,0 +1,49 @@
+package evaluator
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// testWindows keeps the run short under the race detector.
+const testWindows = 80
+
+func findCase(c *qt.C, name string) Case {
+	for _, candidate := range Cases() {
+		if candidate.Name == name {
+			return candidate
+		}
+	}
+	c.Fatalf("no case %q", name)
+	return Case{}
+}
+
+func TestGuildPricesKeepSkewNearTheBound(t *testing.T) {
+	c := qt.New(t)
+	r := Evaluate(findCase(c, "slow drift zipf 0.6, late and gappy"), Priced{Prices: GuildPrices}, testWindows, 1)
+	c.Assert(r.MeanSkew <= 1.02*r.MeanBound, qt.IsTrue, qt.Commentf("mean skew %v", r.MeanSkew))
+}
+
+func TestVitralesPricesMoveLittle(t *testing.T) {
+	c := qt.New(t)
+	drift := findCase(c, "slow drift zipf 1.0, late and gappy")
+	r := Evaluate(drift, Priced{Prices: VitralesPrices}, testWindows, 1)
+	baseline := Evaluate(drift, Replan{}, testWindows, 1)
+	c.Assert(r.MeanSkew <= 1.10, qt.IsTrue, qt.Commentf("mean skew %v", r.MeanSkew))
+	c.Assert(4*r.Bytes <= baseline.Bytes, qt.IsTrue, qt.Commentf("%d of %d bytes", r.Bytes, baseline.Bytes))
+}
+
+func TestSlowRankIsRelieved(t *testing.T) {
+	c := qt.New(t)
+	r := Evaluate(findCase(c, "slow rank at 0.7, zipf 0.8"), Priced{Prices: GuildPrices}, testWindows, 1)
+	c.Assert(r.MeanSkew <= 1.05*r.MeanBound, qt.IsTrue, qt.Commentf("mean skew %v", r.MeanSkew))
+}
+
+func TestSuddenChangeIsFollowed(t *testing.T) {
+	c := qt.New(t)
+	topic := findCase(c, "topic change zipf 0.8")
+	r := Evaluate(topic, Priced{Prices: GuildPrices}, testWindows, 1)
+	never := Evaluate(topic, Never{}, testWindows, 1)
+	c.Assert(r.MeanSkew < never.MeanSkew/2, qt.IsTrue, qt.Commentf("mean skew %v", r.MeanSkew))
+}
