Agents lead and follow model groups; explain map

Cause: the planner and the two-phase change ran in tests only. Change: leader at the first member's agent, engine interface over HTTP, stand-in engines in lock-step, explain map, dev fleet with a stepping group. Conclusion: the whole path of a map change runs in processes.

--- a/cmd/siskinfall/operate.go
+++ b/cmd/siskinfall/operate.go
@@ -14,6 +14,8 @@
 
 	"siskinfall/internal/config/registrar"
 	entry "siskinfall/internal/entry/server"
+	"siskinfall/internal/expert/coordinator"
+	"siskinfall/internal/expert/planner"
 	"siskinfall/internal/operator/caller"
 	"siskinfall/internal/report/burner"
 	"siskinfall/internal/report/recorder"
@@ -106,11 +108,26 @@
 }
 
 type explainCmd struct {
+	Request *explainRequestCmd `arg:"subcommand:request" help:"how a recent request was decided"`
+	Map     *explainMapCmd     `arg:"subcommand:map" help:"how a group's expert map was decided"`
+}
+
+func (c *explainCmd) run() error {
+	switch {
+	case c.Request != nil:
+		return c.Request.run()
+	case c.Map != nil:
+		return c.Map.run()
+	}
+	return fmt.Errorf("say request or map")
+}
+
+type explainRequestCmd struct {
 	target
 	RequestID string `arg:"positional,required" help:"X-Request-Id of the answer"`
 }
 
-func (c *explainCmd) run() error {
+func (c *explainRequestCmd) run() error {
 	var v recorder.View
 	if err := c.client().Get(context.Background(), "/v1/explain/"+url.PathEscape(c.RequestID), &v); err != nil {
 		return err
@@ -126,6 +143,37 @@
 	return printTable("AFTER\tSTEP\tDECISION", rows)
 }
 
+type explainMapCmd struct {
+	target
+	Group string `arg:"positional,required" help:"model group"`
+}
+
+func (c *explainMapCmd) run() error {
+	var changes []coordinator.Change
+	if err := c.client().Get(context.Background(), "/v1/explain/map/"+url.PathEscape(c.Group), &changes); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(changes)
+	}
+	rows := make([]string, 0, len(changes))
+	for _, ch := range changes {
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s\t%.3f -> %.3f\t%.3f -> %.3f\t%d\t%d\t%s\t%s", ch.Time.Format(time.TimeOnly), ch.Version,
+			ch.Outcome, ch.Decision.Reason, ch.Decision.Before, ch.Decision.After, ch.SkewBefore, ch.SkewAfter, ch.Decision.Moved, ch.Bytes,
+			ch.Hold.Round(time.Millisecond), formatWeighed(ch.Decision.Weighed)))
+	}
+	return printTable("TIME\tVERSION\tOUTCOME\tREASON\tPREDICTED SKEW\tMEASURED SKEW\tMOVES\tBYTES\tHOLD\tWEIGHED", rows)
+}
+
+// formatWeighed lists the ways that were weighed for a change.
+func formatWeighed(list []planner.Choice) string {
+	parts := make([]string, 0, len(list))
+	for _, w := range list {
+		parts = append(parts, fmt.Sprintf("%s(skew %.3f, moves %d, cost %.3f)", w.Name, w.Skew, w.Moves, w.Cost))
+	}
+	return strings.Join(parts, " ")
+}
+
 type eventsCmd struct{ target }
 
 func (c *eventsCmd) run() error {
--- /dev/null
+++ b/internal/agent/driver/group.go
@@ -0,0 +1,94 @@
+package driver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"siskinfall/internal/expert/follower"
+	"siskinfall/internal/expert/planner"
+	"siskinfall/internal/fault/wrapper"
+)
+
+// Paths of the group side of an engine.
+const (
+	PathMemory = "/group/memory"
+	PathStage  = "/group/stage"
+)
+
+// GroupDriver speaks to the group side of a model engine.
+type GroupDriver struct {
+	addr   netip.AddrPort
+	client *http.Client
+}
+
+// memoryTimeout bounds the question for an engine's memory.
+const memoryTimeout = 2 * time.Second
+
+// NewGroupDriver returns a GroupDriver for the engine at addr.
+func NewGroupDriver(addr netip.AddrPort) *GroupDriver {
+	return &GroupDriver{addr: addr, client: &http.Client{}}
+}
+
+// MemoryBody is an engine's memory on the wire.
+type MemoryBody struct {
+	Step    uint64          `json:"step"`
+	Version uint64          `json:"version"`
+	Layers  []planner.Layer `json:"layers"`
+}
+
+// Stage implements follower.Engine.
+func (d *GroupDriver) Stage(ctx context.Context, m *planner.Map) error {
+	body, err := json.Marshal(MemoryBody{Version: m.Version, Layers: m.Layers})
+	if err != nil {
+		return wrapper.At("encode_map", "", err)
+	}
+	return d.call(ctx, http.MethodPost, PathStage, body, nil)
+}
+
+// GetMemory implements follower.Engine.
+func (d *GroupDriver) GetMemory(ctx context.Context, incarnation uint64) (follower.Memory, error) {
+	ctx, cancel := context.WithTimeout(ctx, memoryTimeout)
+	defer cancel()
+	var b MemoryBody
+	if err := d.call(ctx, http.MethodGet, fmt.Sprintf("%s?incarnation=%d", PathMemory, incarnation), nil, &b); err != nil {
+		return follower.Memory{}, err
+	}
+	return b.Memory(), nil
+}
+
+// Memory returns the memory that b carries.
+func (b *MemoryBody) Memory() follower.Memory {
+	if b.Version == 0 {
+		return follower.Memory{}
+	}
+	return follower.Memory{Step: b.Step, Map: &planner.Map{Version: b.Version, Layers: b.Layers}}
+}
+
+func (d *GroupDriver) call(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.addr.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return wrapper.At("engine_request", d.addr.String(), err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return wrapper.At("engine_call", d.addr.String(), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return wrapper.At("engine_read", d.addr.String(), err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return wrapper.New("engine_call", d.addr.String(), http.StatusText(resp.StatusCode))
+	}
+	if out == nil {
+		return nil
+	}
+	return wrapper.At("engine_decode", d.addr.String(), json.Unmarshal(data, out))
+}
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -13,10 +13,12 @@
 
 	"siskinfall/internal/admission/queuer"
 	"siskinfall/internal/agent/driver"
+	"siskinfall/internal/agent/leader"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/config/registrar"
 	"siskinfall/internal/config/spreader"
 	"siskinfall/internal/execution/guard"
+	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/suspect/isolator"
@@ -34,6 +36,11 @@
 	Handle(order *encoder.GroupOrder) *encoder.GroupReply
 	// IsStalled reports whether the group makes no steps.
 	IsStalled() bool
+	// Explain returns the coordinator's latest decisions as JSON, nil where this
+	// agent does not lead.
+	Explain() []byte
+	// Run leads the group where that falls to this agent.
+	Run(ctx context.Context)
 }
 
 // Server is one agent.
@@ -60,16 +67,8 @@
 	seq     atomic.Uint64
 }
 
-// Option configures a Server.
-type Option func(*Server)
-
-// WithGroup sets who carries out the orders of the group's coordinator.
-func WithGroup(g GroupHandler) Option {
-	return func(s *Server) { s.group = g }
-}
-
 // New returns a Server; ctx bounds its background work.
-func New(ctx context.Context, cfg *loader.Settings, incarnation uint64, p storer.Platform, opts ...Option) *Server {
+func New(ctx context.Context, cfg *loader.Settings, incarnation uint64, p storer.Platform, pool *connector.Pool) *Server {
 	book := registrar.NewBook()
 	s := &Server{
 		cfg:         cfg,
@@ -82,8 +81,9 @@
 		changed:     make(chan struct{}),
 		drained:     make(chan struct{}),
 	}
-	for _, opt := range opts {
-		opt(s)
+	if group := cfg.Agent.Group; group != "" {
+		f := follower.New(ctx, group, cfg.Instance, incarnation, driver.NewGroupDriver(cfg.Agent.Backend))
+		s.group = leader.New(cfg.Instance, group, f, book, p, pool)
 	}
 	s.watch = isolator.NewWatch(cfg.Instance+"/"+strconv.FormatUint(incarnation, 36), s.probe)
 	book.Watch(func([]*encoder.Entity) { s.applyRanking() })
@@ -108,8 +108,11 @@
 	return h.Boot, err
 }
 
-// RunHealth checks the backend server until ctx ends.
-func (s *Server) RunHealth(ctx context.Context) {
+// Run checks the backend server, and leads its group, until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	if s.group != nil {
+		go s.group.Run(ctx)
+	}
 	ticker := time.NewTicker(s.cfg.Agent.HealthPeriod)
 	defer ticker.Stop()
 	for {
@@ -158,6 +161,9 @@
 	if s.group == nil {
 		return st.Send(&encoder.GroupReply{Instance: s.cfg.Instance})
 	}
+	if order.GetKind() == encoder.OrderKind_ORDER_EXPLAIN {
+		return st.Send(&encoder.GroupReply{Instance: s.cfg.Instance, Report: s.group.Explain()})
+	}
 	return st.Send(s.group.Handle(order))
 }
 
--- a/internal/entry/server/admin.go
+++ b/internal/entry/server/admin.go
@@ -49,6 +49,7 @@
 	mux.HandleFunc("GET /v1/status", s.authorize(roleReader, s.serveStatus))
 	mux.HandleFunc("GET /v1/events", s.authorize(roleReader, s.getEvents))
 	mux.HandleFunc("GET /v1/explain/{id}", s.authorize(roleReader, s.getExplain))
+	mux.HandleFunc("GET /v1/explain/map/{group}", s.authorize(roleReader, s.getExplainMap))
 	mux.HandleFunc("GET /v1/report/burn", s.authorize(roleReader, s.getBurn))
 	mux.HandleFunc("GET /v1/executions/{account}/{service}/{key}", s.authorize(roleReader, s.getExecution))
 	mux.HandleFunc("POST /v1/executions/{account}/{service}/{key}", s.authorize(roleOperator, s.settleExecution))
@@ -347,6 +348,26 @@
 	newProblem(http.StatusNotFound, encoder.CodeNotFound, "find_request", "no reachable instance remembers this request").write(w, r.PathValue("id"))
 }
 
+// getExplainMap asks the members of a group for the coordinator's decisions.
+func (s *Server) getExplainMap(w http.ResponseWriter, r *http.Request) {
+	group := r.PathValue("group")
+	order := &encoder.GroupOrder{Kind: encoder.OrderKind_ORDER_EXPLAIN, Group: group}
+	for _, target := range s.tracker.GetTargets() {
+		status, _ := target.GetStatus()
+		if status.GetGroup() != group {
+			continue
+		}
+		reply := &encoder.GroupReply{}
+		err := s.pool.Call(r.Context(), target.Addr, &encoder.Open{Kind: &encoder.Open_Group{Group: order}}, reply)
+		if err == nil && len(reply.GetReport()) > 0 {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write(reply.GetReport())
+			return
+		}
+	}
+	newProblem(http.StatusNotFound, encoder.CodeNotFound, "find_group", "no reachable agent leads this group").write(w, "")
+}
+
 func (s *Server) getBurn(w http.ResponseWriter, r *http.Request) {
 	report := s.newBurnReport(r.Context())
 	if r.URL.Query().Get("format") != "html" {
--- a/internal/expert/coordinator/coordinator_test.go
+++ b/internal/expert/coordinator/coordinator_test.go
@@ -339,3 +339,43 @@
 		})
 	}
 }
+
+// scripted is a transport that loses some orders.
+type scripted struct {
+	*bench
+	lose func(o *encoder.GroupOrder) bool
+}
+
+func (s *scripted) Call(ctx context.Context, name string, o *encoder.GroupOrder) (*encoder.GroupReply, error) {
+	if s.lose(o) {
+		return nil, errLost
+	}
+	return s.bench.Call(ctx, name, o)
+}
+
+// A decision whose messages were all lost stands: one of them may still land.
+func TestDecisionStandsWhenNobodyHeardIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(1)
+		b.faulty = false
+		ctx := t.Context()
+		time.Sleep(time.Second)
+		net := &scripted{bench: b, lose: func(*encoder.GroupOrder) bool { return false }}
+		lead := New(b.group, 1, net)
+		c.Assert(lead.round(ctx), qt.IsNil)
+		c.Assert(b.step(ctx, 1), qt.IsTrue)
+		net.lose = func(o *encoder.GroupOrder) bool { return o.GetKind() == encoder.OrderKind_ORDER_COMMIT }
+		next := &planner.Map{Version: lead.newVersion(), Layers: []planner.Layer{planner.Contiguous(lead.shape)}}
+		_, err := lead.change(ctx, next)
+		c.Assert(err, qt.IsNil)
+		net.lose = func(*encoder.GroupOrder) bool { return false }
+		lead.nextPlan = time.Now().Add(time.Hour)
+		c.Assert(lead.round(ctx), qt.IsNil)
+		c.Assert(b.step(ctx, 100), qt.IsTrue)
+		c.Assert(b.maps[next.Version], qt.IsTrue)
+		for _, m := range b.members {
+			m.cancel()
+		}
+	})
+}
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,7 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	agent "siskinfall/internal/agent/server"
@@ -178,14 +176,16 @@
 	defer cancel()
 	platform := storer.NewClient(cfg.Platform.Address, storer.WithTimeout(cfg.Platform.Timeout))
 	incarnation := newIncarnation()
-	s := agent.New(ctx, cfg, incarnation, platform)
 	hello := &encoder.Hello{
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: tracker.RoleAgent, Incarnation: incarnation,
 	}
-	adminServer := &http.Server{Handler: agentAdmin(s), ReadHeaderTimeout: readHeaderTimeout}
+	pool := connector.NewPool(hello)
+	defer pool.Close()
+	s := agent.New(ctx, cfg, incarnation, platform, pool)
+	adminServer := &http.Server{Handler: s.AdminHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	acceptor := connector.NewAcceptor(hello, s.Handle)
 	var wg sync.WaitGroup
-	wg.Go(func() { s.RunHealth(ctx) })
+	wg.Go(func() { s.Run(ctx) })
 	wg.Go(func() { serveHTTP(adminServer, admin) })
 	wg.Go(func() { _ = acceptor.Serve(ctx, peers) })
 	log.Info("agent started", "admin", admin.Addr(), "peers", peers.Addr(), "backend", cfg.Agent.Backend)
@@ -197,17 +197,3 @@
 	wg.Wait()
 	return ended(done)
 }
-
-func agentAdmin(s *agent.Server) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "alive\n") })
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !s.IsReady() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = io.WriteString(w, "ready\n")
-	})
-	return mux
-}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -47,15 +47,14 @@
 
 // Responder is a stand-in backend server; it is safe for concurrent use.
 type Responder struct {
-	mu     sync.Mutex
-	faults Faults
-	runs   []Run
-	// seen counts every request, model requests too.
-	seen    int
+	mu      sync.Mutex
+	faults  Faults
+	runs    []Run
 	crashes int
 	boot    string
 	onCrash func()
 	running atomic.Int64
+	Rank
 }
 
 // Option configures a Responder.
@@ -120,6 +119,8 @@
 	mux.HandleFunc("PUT /faults", s.putFaults)
 	mux.HandleFunc("POST /v1/chat/completions", s.complete)
 	mux.HandleFunc("POST /v1/resume", s.resume)
+	mux.HandleFunc("GET "+driver.PathMemory, s.getMemory)
+	mux.HandleFunc("POST "+driver.PathStage, s.stage)
 	mux.HandleFunc("/", s.plain)
 	return mux
 }
--- a/internal/standin/starter/demo.go
+++ b/internal/standin/starter/demo.go
@@ -10,9 +10,11 @@
 	"time"
 
 	entry "siskinfall/internal/entry/server"
+	"siskinfall/internal/expert/planner"
 	"siskinfall/internal/operator/caller"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/standin/responder"
+	"siskinfall/internal/standin/stepper"
 )
 
 // DemoKey is the bearer key of the demo's client account.
@@ -91,7 +93,9 @@
 // Demo is the fleet of the dev command.
 type Demo struct {
 	*Fleet
-	Desk *responder.Server
+	// Steps drives the lock-step of the model group.
+	Steps     *stepper.Stepper
+	stopSteps context.CancelFunc
 }
 
 // StartDemo starts two entry instances in two availability zones, four agents
@@ -135,7 +139,32 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	return d.ApplyAndWait(ctx, "entry-1", DemoTicket(), 6)
+	if err := d.ApplyAndWait(ctx, "entry-1", DemoTicket(), 6); err != nil {
+		return err
+	}
+	d.startSteps()
+	return nil
+}
+
+// startSteps lets the model group step until the fleet is closed.
+func (d *Demo) startSteps() {
+	var members []stepper.Member
+	for i := range 4 {
+		p := d.Processes[fmt.Sprintf("agent-%d", i+1)]
+		members = append(members, stepper.Member{Engine: p.Backend.Responder, Agent: p.Settings.Listen.Admin})
+	}
+	d.Steps = stepper.New(planner.Shape{Ranks: 8, SlotsPerRank: 5, Experts: 32}, 4, members)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopSteps = cancel
+	go d.Steps.Run(ctx)
+}
+
+// Close stops the steps and the fleet.
+func (d *Demo) Close() {
+	if d.stopSteps != nil {
+		d.stopSteps()
+	}
+	d.Fleet.Close()
 }
 
 // ApplyAndWait applies a ticket at an entry instance and waits until every
@@ -191,6 +220,7 @@
 		"    -d '{\"model\":\"assistant-llm\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n\n", demoCallers, DemoKey)
 	fmt.Fprintf(&b, "A kiln booking; run it twice, it is booked once:\n  curl -i http://%s/desk/kiln/bookings -H 'Authorization: Bearer %s' \\\n"+
 		"    -H 'Idempotency-Key: booking-1' -d '{\"day\":\"2026-12-10\"}'\n\n", demoCallers, DemoKey)
-	fmt.Fprintf(&b, "The fleet:\n  bin/siskinfall status --admin %s\n\nCtrl-C stops it.\n", demoAdmin)
+	fmt.Fprintf(&b, "The fleet, and why the expert map changed:\n  bin/siskinfall status --admin %s\n"+
+		"  bin/siskinfall explain map assistant-group --admin %s\n\nCtrl-C stops it.\n", demoAdmin, demoAdmin)
 	return b.String()
 }
