--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -47,13 +48,15 @@
 
 // Responder is a stand-in backend server; it is safe for concurrent use.
 type Responder struct {
-	mu      sync.Mutex
-	faults  Faults
-	runs    []Run
-	crashes int
-	boot    string
-	onCrash func()
-	running atomic.Int64
+	mu     sync.Mutex
+	faults Faults
+	runs   []Run
+	// attempts holds the attempt ids of every request that arrived.
+	attempts map[string]int
+	crashes  int
+	boot     string
+	onCrash  func()
+	running  atomic.Int64
 	Rank
 }
 
@@ -72,7 +75,7 @@
 
 // New returns a Responder.
 func New(opts ...Option) *Responder {
-	s := &Responder{boot: newBoot()}
+	s := &Responder{boot: newBoot(), attempts: make(map[string]int)}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -95,6 +98,19 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// GetAttempts returns how often each attempt arrived, by attempt id.
+func (s *Responder) GetAttempts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.attempts)
+}
+
+func (s *Responder) countAttempt(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts[r.Header.Get("X-Attempt-Id")]++
+}
+
 // GetCrashes returns how often the responder has crashed.
 func (s *Responder) GetCrashes() int {
 	s.mu.Lock()
@@ -202,6 +218,7 @@
 func (s *Responder) answer(w http.ResponseWriter, r *http.Request, body []byte, from int) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	s.countAttempt(r)
 	s.begin(r, body)
 	var c completion
 	if err := json.Unmarshal(body, &c); err != nil {
@@ -267,6 +284,15 @@
 	return b.String()
 }
 
+// ExpectedWhole is the text of the whole answer for the messages of a request.
+func ExpectedWhole(messages string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Token(xxhash.Sum64String(messages), i))
+	}
+	return b.String()
+}
+
 func (s *Responder) plain(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
@@ -278,6 +304,7 @@
 		Attempt: r.Header.Get("X-Attempt-Id"), Method: r.Method, Path: r.URL.Path,
 		Key: r.Header.Get("Idempotency-Key"), Body: string(body),
 	}
+	s.countAttempt(r)
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	n := len(s.runs)
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -71,6 +71,7 @@
 	Processes map[string]*Process
 	server    *http.Server
 	adjust    func(*loader.Settings)
+	advertise func(name string, addr netip.AddrPort) netip.AddrPort
 	wg        sync.WaitGroup
 }
 
@@ -82,6 +83,12 @@
 	return func(fl *Fleet) { fl.adjust = f }
 }
 
+// WithAdvertise lets f change the address under which a process is listed, for
+// example to that of a proxy.
+func WithAdvertise(f func(name string, addr netip.AddrPort) netip.AddrPort) Option {
+	return func(fl *Fleet) { fl.advertise = f }
+}
+
 // New starts a platform and returns a Fleet without instances.
 func New(opts ...Option) (*Fleet, error) {
 	ln, err := net.Listen("tcp", AnyPort.String())
@@ -90,7 +97,8 @@
 	}
 	f := &Fleet{
 		Keeper: keeper.New(), Platform: ln.Addr().(*net.TCPAddr).AddrPort(), Processes: make(map[string]*Process),
-		adjust: func(*loader.Settings) {},
+		adjust:    func(*loader.Settings) {},
+		advertise: func(_ string, addr netip.AddrPort) netip.AddrPort { return addr },
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -158,7 +166,7 @@
 		}
 	})
 	f.Processes[cfg.Instance] = p
-	f.Keeper.SetInstance(storer.Instance{Name: cfg.Instance, Role: role, Zone: cfg.Zone, Address: cfg.Listen.Peers})
+	f.Keeper.SetInstance(storer.Instance{Name: cfg.Instance, Role: role, Zone: cfg.Zone, Address: f.advertise(cfg.Instance, cfg.Listen.Peers)})
 	return p
 }
 
