--- /dev/null
+++ b/internal/process/launcher/process_test.go
@@ -0,0 +1,300 @@
+package launcher_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+	"go.yaml.in/yaml/v3"
+
+	"siskinfall/internal/operator/caller"
+	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/routing/tracker"
+	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/standin/checker"
+	"siskinfall/internal/standin/responder"
+	"siskinfall/internal/standin/starter"
+)
+
+// streams is the number of streams at once during a shutdown.
+const streams = 200
+
+// fleet is a fleet of real processes, the agents behind proxies.
+type fleet struct {
+	*qt.C
+	dir      string
+	platform netip.AddrPort
+	settings map[string]*loader.Settings
+	procs    map[string]*exec.Cmd
+	proxies  map[string]*toxiproxy.Proxy
+	backends map[string]netip.AddrPort
+	client   *checker.Client
+}
+
+func startFleet(c *qt.C) *fleet {
+	logrus.SetLevel(logrus.FatalLevel)
+	f := &fleet{
+		C: c, dir: c.TempDir(), settings: make(map[string]*loader.Settings), procs: make(map[string]*exec.Cmd),
+		proxies: make(map[string]*toxiproxy.Proxy), backends: make(map[string]netip.AddrPort), client: checker.NewClient(starter.DemoKey),
+	}
+	for _, name := range []string{"siskinfall", "standin"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(f.dir, name), "siskinfall/cmd/"+name)
+		out, err := build.CombinedOutput()
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	}
+	f.platform = f.port()
+	f.run("platform", "standin", "platform", "--listen", f.platform.String())
+	c.Cleanup(f.close)
+	f.wait(func() error { return f.get("http://"+f.platform.String()+"/counts", nil) })
+	for i, service := range []string{"assistant-llm", "assistant-llm", "member-desk"} {
+		f.startAgent(fmt.Sprintf("agent-%d", i+1), service)
+	}
+	f.startEntry("entry-1")
+	f.startEntry("entry-2")
+	ticket := filepath.Join(f.dir, "ticket.yaml")
+	c.Assert(os.WriteFile(ticket, []byte(processTicket), 0o600), qt.IsNil)
+	f.waitRouted("entry-1", 0)
+	out, err := exec.Command(filepath.Join(f.dir, "siskinfall"), "ticket", "apply", "--wait", "5s",
+		"--admin", f.settings["entry-1"].Listen.Admin.String(), ticket).CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	f.waitRouted("entry-1", 3)
+	f.waitRouted("entry-2", 3)
+	return f
+}
+
+func (f *fleet) port() netip.AddrPort {
+	addr, err := starter.FreePort()
+	f.Assert(err, qt.IsNil)
+	return addr
+}
+
+// run starts a process whose output goes to a file.
+func (f *fleet) run(name, program string, args ...string) {
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f.Assert(err, qt.IsNil)
+	cmd := exec.Command(filepath.Join(f.dir, program), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	f.Assert(cmd.Start(), qt.IsNil)
+	f.procs[name] = cmd
+}
+
+func (f *fleet) startBackend(name string) {
+	f.run("backend-"+name, "standin", "backend", "--listen", f.backends[name].String(), "--token-delay", "10ms")
+}
+
+func (f *fleet) startAgent(name, service string) {
+	f.backends[name] = f.port()
+	f.startBackend(name)
+	cfg := f.newSettings(name)
+	cfg.Agent.Service, cfg.Agent.Backend, cfg.Agent.Concurrency = service, f.backends[name], 256
+	cfg.Agent.HealthPeriod = 100 * time.Millisecond
+	proxy := toxiproxy.NewProxy()
+	proxy.Name, proxy.Listen, proxy.Upstream = name, "127.0.0.1:0", cfg.Listen.Peers.String()
+	f.Assert(proxy.Start(), qt.IsNil)
+	f.proxies[name] = proxy
+	f.startProcess(name, tracker.RoleAgent, netip.MustParseAddrPort(proxy.Listen))
+}
+
+func (f *fleet) startEntry(name string) {
+	cfg := f.newSettings(name)
+	cfg.Entry.PollInterval = 200 * time.Millisecond
+	cfg.Entry.SyncInterval = 200 * time.Millisecond
+	cfg.Entry.Heartbeat = 200 * time.Millisecond
+	f.startProcess(name, tracker.RoleEntry, cfg.Listen.Peers)
+}
+
+func (f *fleet) newSettings(name string) *loader.Settings {
+	cfg := loader.NewSettings()
+	cfg.Instance, cfg.Platform.Address = name, f.platform
+	cfg.Listen = loader.Listen{Callers: f.port(), Admin: f.port(), Peers: f.port()}
+	f.settings[name] = cfg
+	return cfg
+}
+
+// startProcess starts an entry instance or agent and lists it at the platform.
+func (f *fleet) startProcess(name, role string, listed netip.AddrPort) {
+	data, err := yaml.Marshal(f.settings[name])
+	f.Assert(err, qt.IsNil)
+	path := filepath.Join(f.dir, name+".yaml")
+	f.Assert(os.WriteFile(path, data, 0o600), qt.IsNil)
+	f.run(name, "siskinfall", role, "--settings", path)
+	f.list(storer.Instance{Name: name, Role: role, Zone: f.settings[name].Zone, Address: listed})
+}
+
+func (f *fleet) list(in storer.Instance) {
+	body, err := json.Marshal(in)
+	f.Assert(err, qt.IsNil)
+	f.put("http://"+f.platform.String()+"/instances", body)
+}
+
+func (f *fleet) put(url string, body []byte) {
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	f.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	f.Assert(err, qt.IsNil)
+	f.Assert(resp.Body.Close(), qt.IsNil)
+}
+
+func (f *fleet) get(url string, out any) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+func (f *fleet) wait(get func() error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f.Assert(starter.WaitFor(ctx, get), qt.IsNil)
+}
+
+// waitRouted waits until an entry instance routes to n agents.
+func (f *fleet) waitRouted(name string, n int) {
+	client := caller.NewClient(f.settings[name].Listen.Admin, "")
+	f.wait(func() error { return starter.CheckRouted(context.Background(), client, name, n) })
+}
+
+func (f *fleet) close() {
+	for _, cmd := range f.procs {
+		_ = cmd.Process.Kill()
+		_, _ = cmd.Process.Wait()
+	}
+	for _, proxy := range f.proxies {
+		proxy.Stop()
+	}
+}
+
+// runStreams starts streams and calls midway when all of them have begun.
+func (f *fleet) runStreams(entry string, n int, midway func()) []*checker.Told {
+	told := make([]*checker.Told, n)
+	var wg sync.WaitGroup
+	for i := range told {
+		wg.Go(func() {
+			told[i] = f.client.Do(context.Background(), f.settings[entry].Listen.Callers, checker.Call{
+				Kind: checker.KindStream, Service: "assistant-llm", Payload: fmt.Sprintf("%s stream %d", entry, i), Tokens: 150,
+			})
+		})
+	}
+	f.wait(func() error { return f.checkRunning(n) })
+	midway()
+	wg.Wait()
+	return told
+}
+
+// checkRunning reports an error unless the backend servers run n requests.
+func (f *fleet) checkRunning(n int) error {
+	running := 0
+	for _, addr := range f.backends {
+		var h responder.Load
+		if err := f.get("http://"+addr.String()+"/load", &h); err != nil {
+			return err
+		}
+		running += h.Running
+	}
+	if running < n {
+		return fmt.Errorf("%d of %d run", running, n)
+	}
+	return nil
+}
+
+func (f *fleet) assertWhole(told []*checker.Told) {
+	f.Helper()
+	for _, t := range told {
+		f.Assert(t.Err, qt.IsNil)
+		f.Assert(t.Body, qt.Equals, responder.ExpectedStream(checker.Messages(t.Payload), t.Tokens), qt.Commentf("status %d", t.Status))
+	}
+}
+
+// terminate sends SIGTERM and returns a function that waits for exit code 0.
+func (f *fleet) terminate(name string) (waitExit func()) {
+	cmd := f.procs[name]
+	f.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	return func() {
+		f.Assert(cmd.Wait(), qt.IsNil)
+		delete(f.procs, name)
+	}
+}
+
+func TestProcesses(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(c)
+	c.Run("an order sent twice runs once", func(c *qt.C) {
+		order := checker.Call{Kind: checker.KindOrder, Service: "/desk/", Payload: "kiln slot", Key: "booking-1"}
+		first := f.client.Do(context.Background(), f.settings["entry-1"].Listen.Callers, order)
+		second := f.client.Do(context.Background(), f.settings["entry-2"].Listen.Callers, order)
+		c.Assert(first.IsAnswered(), qt.IsTrue)
+		c.Assert(second.Body, qt.Equals, first.Body)
+		var runs []responder.Run
+		c.Assert(f.get("http://"+f.backends["agent-3"].String()+"/runs", &runs), qt.IsNil)
+		c.Assert(runs, qt.HasLen, 1)
+	})
+	c.Run("an agent that is killed cuts no stream", func(c *qt.C) {
+		told := f.runStreams("entry-1", 20, func() {
+			c.Assert(f.procs["agent-1"].Process.Kill(), qt.IsNil)
+			_, _ = f.procs["agent-1"].Process.Wait()
+		})
+		f.assertWhole(told)
+		f.run("agent-1", "siskinfall", "agent", "--settings", filepath.Join(f.dir, "agent-1.yaml"))
+		f.waitRouted("entry-1", 3)
+		f.waitRouted("entry-2", 3)
+	})
+	c.Run("an agent that is cut off cuts no stream", func(*qt.C) {
+		told := f.runStreams("entry-1", 20, func() { f.proxies["agent-2"].Stop() })
+		f.assertWhole(told)
+		f.Assert(f.proxies["agent-2"].Start(), qt.IsNil)
+		f.waitRouted("entry-1", 3)
+		f.waitRouted("entry-2", 3)
+	})
+	c.Run("SIGTERM to an agent cuts no stream", func(*qt.C) {
+		var waitExit func()
+		told := f.runStreams("entry-1", streams, func() { waitExit = f.terminate("agent-1") })
+		f.assertWhole(told)
+		waitExit()
+	})
+	c.Run("SIGTERM to an entry instance cuts no stream", func(*qt.C) {
+		var waitExit func()
+		told := f.runStreams("entry-2", streams, func() { waitExit = f.terminate("entry-2") })
+		f.assertWhole(told)
+		waitExit()
+	})
+}
+
+var processTicket = fmt.Sprintf(`number: 1
+author: test
+client_accounts:
+  - {name: caller, key_sha256: [%s], class: field, weight: 1}
+services:
+  - name: assistant-llm
+    kind: model
+    timeout: 60s
+    attempts: 5
+    retry_budget: 0.5
+    execution_retention: 1h
+    objective: {availability: 0.99, first_byte: 1s}
+  - name: member-desk
+    kind: plain
+    path_prefix: /desk/
+    timeout: 10s
+    attempts: 5
+    retry_budget: 0.5
+    execution_retention: 1h
+    objective: {availability: 0.99, first_byte: 1s}
+`, starter.HashKey(starter.DemoKey))
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -32,6 +32,8 @@
 	TokenDelay time.Duration `json:"token_delay_nanoseconds"`
 	// BreakAfter n cuts the connection of each stream after n tokens.
 	BreakAfter int `json:"break_after"`
+	// EndAfter n ends each stream cleanly after n tokens, without its end marker.
+	EndAfter int `json:"end_after"`
 	// Stall holds every answer back until it is cleared.
 	Stall bool `json:"stall"`
 }
@@ -73,6 +75,11 @@
 	return func(s *Responder) { s.faults = f }
 }
 
+// Load is what runs now.
+type Load struct {
+	Running int `json:"running"`
+}
+
 // New returns a Responder.
 func New(opts ...Option) *Responder {
 	s := &Responder{boot: newBoot(), attempts: make(map[string]int)}
@@ -131,6 +138,7 @@
 func (s *Responder) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, Load{Running: s.GetRunning()}) })
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.GetRuns()) })
 	mux.HandleFunc("PUT /faults", s.putFaults)
 	mux.HandleFunc("POST /v1/chat/completions", s.complete)
@@ -252,7 +260,7 @@
 		if f.BreakAfter > 0 && i-from >= f.BreakAfter {
 			panic(http.ErrAbortHandler)
 		}
-		if r.Context().Err() != nil {
+		if f.EndAfter > 0 && i-from >= f.EndAfter || r.Context().Err() != nil {
 			return
 		}
 		if f.TokenDelay > 0 {
--- a/internal/standin/starter/demo.go
+++ b/internal/standin/starter/demo.go
@@ -192,24 +192,28 @@
 // WaitRouted waits until an entry instance routes to a number of agents.
 func (f *Fleet) WaitRouted(ctx context.Context, p *Process, agents int) error {
 	client := caller.NewClient(p.Settings.Listen.Admin, "")
-	return WaitFor(ctx, func() error {
-		var v entry.StatusView
-		if err := client.Get(ctx, "/v1/status", &v); err != nil {
-			return err
-		}
-		available := 0
-		for _, a := range v.Agents {
-			if a.Available {
-				available++
-			}
+	return WaitFor(ctx, func() error { return CheckRouted(ctx, client, p.Settings.Instance, agents) })
+}
+
+// CheckRouted returns an error unless an entry instance is ready and routes to
+// a number of agents.
+func CheckRouted(ctx context.Context, client *caller.Client, instance string, agents int) error {
+	var v entry.StatusView
+	if err := client.Get(ctx, "/v1/status", &v); err != nil {
+		return err
+	}
+	available := 0
+	for _, a := range v.Agents {
+		if a.Available {
+			available++
 		}
-		for _, e := range v.Entries {
-			if e.Instance == p.Settings.Instance && e.Ready && available >= agents {
-				return nil
-			}
+	}
+	for _, e := range v.Entries {
+		if e.Instance == instance && e.Ready && available >= agents {
+			return nil
 		}
-		return fmt.Errorf("%s routes to %d of %d agents", p.Settings.Instance, available, agents)
-	})
+	}
+	return fmt.Errorf("%s routes to %d of %d agents", instance, available, agents)
 }
 
 // Guide tells a newcomer what to try.
