--- a/internal/config/registrar/acceptor.go
+++ b/internal/config/registrar/acceptor.go
@@ -93,7 +93,7 @@
 		case err == nil, storer.IsErrConflict(err):
 			continue
 		case isRefusal(err):
-			return nil, err
+			return entities, g.checkRefusal(ctx, t.Number, sum[:], err)
 		}
 		uncertain = true
 		if ctx.Err() != nil {
@@ -106,6 +106,21 @@
 	return nil, wrapper.At("accept_ticket", "platform", storer.ErrConflict)
 }
 
+// checkRefusal returns nil if the ticket was accepted meanwhile: another
+// operator with the same ticket may have been faster, and a later ticket too.
+func (g *Registry) checkRefusal(ctx context.Context, number uint64, sum []byte, refusal error) error {
+	known, err := g.isAccepted(ctx, number, sum)
+	switch {
+	case known:
+		return nil
+	case isRefusal(err):
+		return err
+	case err == nil:
+		return refusal
+	}
+	return wrapper.At("accept_ticket", "platform", ErrUncertain)
+}
+
 // isRefusal reports whether err is a definite no.
 func isRefusal(err error) bool {
 	var s *SupersededError
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -1,7 +1,7 @@
 package loader
 
 import (
-	"bytes"
+	"encoding"
 	"errors"
 	"fmt"
 	"io"
@@ -60,7 +60,7 @@
 		return nil, &InvalidError{Problems: []Problem{{Text: err.Error()}}}
 	}
 	s := NewSettings()
-	problems := decodeStrict(data, s)
+	problems := decode(&root, reflect.ValueOf(s).Elem(), "")
 	problems = append(problems, checkValues(s, &root)...)
 	if len(problems) == 0 {
 		return s, nil
@@ -69,31 +69,77 @@
 	return nil, &InvalidError{Problems: problems}
 }
 
-func decodeStrict(data []byte, s *Settings) []Problem {
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
-	err := dec.Decode(s)
-	if err == nil || errors.Is(err, io.EOF) {
+// decode sets v from n, field by field, so that one mistake hides no other.
+func decode(n *yaml.Node, v reflect.Value, path string) []Problem {
+	switch {
+	case n.Kind == 0:
 		return nil
+	case n.Kind == yaml.DocumentNode:
+		return decode(n.Content[0], v, path)
+	case v.Kind() == reflect.Struct && !isText(v):
+		return decodeStruct(n, v, path)
+	case v.Kind() == reflect.Slice && n.Kind == yaml.SequenceNode:
+		return decodeSlice(n, v, path)
 	}
-	var typeErr *yaml.TypeError
-	if !errors.As(err, &typeErr) {
-		return []Problem{{Text: err.Error()}}
+	if err := n.Decode(v.Addr().Interface()); err != nil {
+		return []Problem{{Line: n.Line, Text: fmt.Sprintf("%s: %q is not valid: %s", path, n.Value, shorten(err))}}
+	}
+	return nil
+}
+
+// isText reports whether a value reads itself from text, as an address does.
+func isText(v reflect.Value) bool {
+	_, ok := v.Addr().Interface().(encoding.TextUnmarshaler)
+	return ok
+}
+
+func decodeStruct(n *yaml.Node, v reflect.Value, path string) []Problem {
+	if n.Kind != yaml.MappingNode {
+		return []Problem{{Line: n.Line, Text: path + ": must be a mapping"}}
+	}
+	var problems []Problem
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key := n.Content[i]
+		name := strings.TrimPrefix(path+"."+key.Value, ".")
+		field, ok := findField(v, key.Value)
+		if !ok {
+			problems = append(problems, Problem{Line: key.Line, Text: name + ": unknown key"})
+			continue
+		}
+		problems = append(problems, decode(n.Content[i+1], field, name)...)
 	}
-	problems := make([]Problem, 0, len(typeErr.Errors))
-	for _, text := range typeErr.Errors {
-		problems = append(problems, parseTypeError(fmt.Sprint(text)))
+	return problems
+}
+
+func findField(v reflect.Value, name string) (reflect.Value, bool) {
+	for i := range v.NumField() {
+		if v.Type().Field(i).Tag.Get("yaml") == name {
+			return v.Field(i), true
+		}
 	}
+	return reflect.Value{}, false
+}
+
+func decodeSlice(n *yaml.Node, v reflect.Value, path string) []Problem {
+	list := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
+	var problems []Problem
+	for i, item := range n.Content {
+		problems = append(problems, decode(item, list.Index(i), fmt.Sprintf("%s[%d]", path, i))...)
+	}
+	v.Set(list)
 	return problems
 }
 
-func parseTypeError(text string) Problem {
-	var line int
-	if _, err := fmt.Sscanf(text, "line %d:", &line); err != nil {
-		return Problem{Text: text}
+// shorten drops the decoder's own heading and line.
+func shorten(err error) string {
+	var typeErr *yaml.TypeError
+	if errors.As(err, &typeErr) && len(typeErr.Errors) > 0 {
+		_, text, found := strings.Cut(fmt.Sprint(typeErr.Errors[0]), ": ")
+		if found {
+			return text
+		}
 	}
-	_, rest, _ := strings.Cut(text, ": ")
-	return Problem{Line: line, Text: rest}
+	return err.Error()
 }
 
 func checkValues(s *Settings, root *yaml.Node) []Problem {
--- /dev/null
+++ b/internal/settings/loader/loader_test.go
@@ -0,0 +1,48 @@
+package loader
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sebdah/goldie/v2"
+)
+
+const fiveMistakes = `instance: entry-1
+availability_zone: ""
+listen:
+  callers: not-an-address
+log:
+  level: loud
+entry:
+  drain_timeout: 5h
+  candidats: 3
+`
+
+func TestDefaultsAreValidAndGolden(t *testing.T) {
+	c := qt.New(t)
+	var b bytes.Buffer
+	c.Assert(WriteDefaults(&b), qt.IsNil)
+	goldie.New(t).Assert(t, "defaults", b.Bytes())
+	s, err := Parse(b.Bytes())
+	c.Assert(err, qt.IsNil)
+	c.Assert(reflect.DeepEqual(s, NewSettings()), qt.IsTrue)
+}
+
+func TestEveryMistakeIsTold(t *testing.T) {
+	c := qt.New(t)
+	_, err := Parse([]byte(fiveMistakes))
+	c.Assert(IsInvalid(err), qt.IsTrue)
+	goldie.New(t).Assert(t, "mistakes", []byte(err.Error()+"\n"))
+}
+
+func TestFileOverridesDefaults(t *testing.T) {
+	c := qt.New(t)
+	s, err := Parse([]byte("instance: x\nplatform: {timeout: 5s}\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Instance, qt.Equals, "x")
+	c.Assert(s.Platform.Timeout, qt.Equals, 5*time.Second)
+	c.Assert(s.Zone, qt.Equals, NewSettings().Zone)
+}
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -6,12 +6,8 @@
 import (
 	"encoding/json"
 	"io"
-	"maps"
 	"net/http"
-	"slices"
-	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -139,17 +135,7 @@
 		http.Error(w, "bad n", http.StatusBadRequest)
 		return
 	}
-	k.mu.Lock()
-	k.reads++
-	rows := []storer.Row{}
-	for key, row := range k.rows {
-		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
-			rows = append(rows, row)
-		}
-	}
-	k.mu.Unlock()
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	reply(w, rows[:min(n, len(rows))])
+	reply(w, k.list(q.Get("prefix"), q.Get("after"), n))
 }
 
 func (k *Keeper) commit(w http.ResponseWriter, r *http.Request) {
@@ -213,11 +199,7 @@
 }
 
 func (k *Keeper) listInstances(w http.ResponseWriter, _ *http.Request) {
-	k.mu.Lock()
-	list := slices.Collect(maps.Values(k.inst))
-	k.mu.Unlock()
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	reply(w, list)
+	reply(w, k.listed())
 }
 
 func (k *Keeper) putInstance(w http.ResponseWriter, r *http.Request) {
