Routing measured: aged reports, noise-tolerant service times, fresh loads

All entries followed the same old report and the same noise in service times. Change: reports age towards the mean of all; service times within 30 % of the mean count as equal; two candidates in place of four; the prefix's preferred target has a prior; requests past hope leave the queue before they take a slot. Ruled out: 0, 2 and 3 preferred targets, weaker load slopes.

--- a/internal/admission/queuer/queuer.go
+++ b/internal/admission/queuer/queuer.go
@@ -280,7 +280,7 @@
 		c := q.nextClass()
 		w := c.next()
 		q.remove(w)
-		if q.now().After(w.Deadline) {
+		if q.now().Add(q.service).After(w.Deadline) {
 			w.result <- ErrTooLate
 			continue
 		}
--- a/internal/routing/picker/backend.go
+++ b/internal/routing/picker/backend.go
@@ -31,6 +31,8 @@
 	Ready   bool
 	Leaving bool
 	Stalled bool
+	// At is when the report was made, by this entry's clock.
+	At time.Time
 }
 
 // Backend is a backend server as one entry instance sees it. Every method is
@@ -46,8 +48,10 @@
 	available atomic.Int32
 	// own counts this entry's requests in flight; it is exact.
 	own atomic.Int64
-	// ownAtReport is own at the time of the latest report.
-	ownAtReport atomic.Int64
+	// others is the load that the latest report showed beyond own requests, and
+	// reportedAt when that was, in nanoseconds.
+	others      atomic.Int64
+	reportedAt  atomic.Int64
 	reported    atomic.Int64
 	concurrency atomic.Int64
 	service     atomic.Int64
@@ -70,8 +74,7 @@
 
 // SetReport takes in a report.
 func (b *Backend) SetReport(r Report) {
-	b.ownAtReport.Store(b.own.Load())
-	b.reported.Store(int64(r.Running + r.Queued))
+	b.SetLoad(r.Running+r.Queued, r.At)
 	b.concurrency.Store(int64(max(r.Concurrency, 1)))
 	if r.Service > 0 {
 		b.service.Store(int64(r.Service))
@@ -79,6 +82,13 @@
 	b.SetAvailable(r.Ready && !r.Leaving && !r.Stalled)
 }
 
+// SetLoad takes in the number of requests at the backend server at a time.
+func (b *Backend) SetLoad(n int, at time.Time) {
+	b.reported.Store(int64(n))
+	b.others.Store(max(int64(n)-b.own.Load(), 0))
+	b.reportedAt.Store(at.UnixNano())
+}
+
 // SetAvailable says whether new work may be sent.
 func (b *Backend) SetAvailable(ok bool) {
 	v := int32(0)
@@ -115,14 +125,23 @@
 // GetFailures returns the smoothed failure fraction.
 func (b *Backend) GetFailures() float64 { return math.Float64frombits(b.failures.Load()) }
 
-// load estimates the requests at the backend server now: the report, corrected
-// by what this entry has sent and finished since.
-func (b *Backend) load() float64 {
-	own := b.own.Load()
-	est := b.reported.Load() + own - b.ownAtReport.Load()
-	return float64(max(est, own, 0))
+// load estimates the requests at the backend server now. Own requests are known
+// exactly. Those of other entries are as reported at first; as the report ages
+// beyond the time of a request, they tend to the mean of all backend servers,
+// so that entries with the same old report do not all go the same way.
+func (b *Backend) load(now int64, meanOthers float64) float64 {
+	age := float64(now - b.reportedAt.Load())
+	trust := math.Exp2(-max(age, 0) / float64(max(b.service.Load(), 1)))
+	others := trust*float64(b.others.Load()) + (1-trust)*meanOthers*float64(b.concurrency.Load())
+	return others + float64(b.own.Load())
 }
 
+// getService is the reported service time in seconds.
+func (b *Backend) getService() float64 { return time.Duration(b.service.Load()).Seconds() }
+
+// known is the load by the latest report and own requests alone.
+func (b *Backend) known() float64 { return float64(b.others.Load() + b.own.Load()) }
+
 // cached is the probability that the prefix is in the engine's cache.
 func (b *Backend) cached(prefix uint64, now int64) float64 {
 	i := prefix % cacheCells
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -48,10 +48,15 @@
 const (
 	// prefixGain is the fraction of the service time that a cached prefix saves.
 	prefixGain = 0.3
+	// affinityPrior is the probability that a prefix's preferred targets hold it.
+	affinityPrior = 0.8
+	// fullSlowdown is how much slower a full engine runs a request than an empty
+	// one, as a fraction.
+	fullSlowdown = 1
 	// failurePenalty multiplies the score at a failure fraction of 1.
 	failurePenalty = 10
 	// affinityTargets is the number of candidates that a prefix prefers.
-	affinityTargets = 2
+	affinityTargets = 1
 	// ejectAbove is the failure fraction that ejects a backend server.
 	ejectAbove = 0.6
 	// ejectTime is how long it stays ejected.
@@ -67,6 +72,11 @@
 	hop  time.Duration
 	way  Way
 	next atomic.Uint64
+	// meanOthers is the smoothed load by other entries for each slot, as float
+	// bits; it is learnt from random candidates.
+	meanOthers atomic.Uint64
+	// meanService is the smoothed service time in seconds, learnt likewise.
+	meanService atomic.Uint64
 }
 
 // Option configures a Picker.
@@ -82,7 +92,7 @@
 
 // New returns a Picker.
 func New(opts ...Option) *Picker {
-	p := &Picker{way: ExpectedCompletion{Candidates: 4}}
+	p := &Picker{way: ExpectedCompletion{Candidates: 2}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -167,13 +177,13 @@
 func pickRendezvous(set []*Backend, d Demand, factor float64) *Backend {
 	total := 0.0
 	for _, b := range set {
-		total += b.load()
+		total += b.known()
 	}
 	bound := math.Ceil(factor * (total + 1) / float64(len(set)))
 	var best *Backend
 	var bestHash uint64
 	for _, b := range set {
-		if !d.usable(b) || b.load() >= bound {
+		if !d.usable(b) || b.known() >= bound {
 			continue
 		}
 		if h := weigh(b, d.Prefix); best == nil || h > bestHash {
@@ -185,7 +195,11 @@
 
 // weigh hashes a backend server together with a prefix.
 func weigh(b *Backend, prefix uint64) uint64 {
-	h := xxhash.Sum64String(b.Name) ^ prefix
+	return mix(xxhash.Sum64String(b.Name) ^ prefix)
+}
+
+// mix spreads the bits of a number, as the finalizer of MurmurHash3 does.
+func mix(h uint64) uint64 {
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
 	h ^= h >> 33
@@ -193,48 +207,86 @@
 	return h ^ h>>33
 }
 
-// pickExpected scores random candidates, and the prefix's own few.
-func (p *Picker) pickExpected(set []*Backend, d Demand, candidates int) *Backend {
-	var best *Backend
-	bestScore := math.Inf(1)
-	consider := func(b *Backend) {
-		if !d.usable(b) {
-			return
-		}
-		if score := p.Score(b, d); score < bestScore {
-			best, bestScore = b, score
-		}
+// choice is the best candidate so far.
+type choice struct {
+	best  *Backend
+	score float64
+}
+
+func (c *choice) consider(p *Picker, b *Backend, d Demand, prior float64) {
+	if !d.usable(b) {
+		return
 	}
-	if len(set) <= 2*candidates {
-		for _, b := range set {
-			consider(b)
-		}
-		return best
+	if score := p.score(b, d, prior); c.best == nil || score < c.score {
+		c.best, c.score = b, score
 	}
+}
+
+// pickExpected scores random candidates, and the prefix's own few. Every entry
+// prefers the same few for a prefix, so that they are likely to hold it.
+func (p *Picker) pickExpected(set []*Backend, d Demand, candidates int) *Backend {
+	var c choice
 	if d.Prefix != 0 {
 		for i := range uint64(affinityTargets) {
-			consider(set[(d.Prefix>>(8*i))%uint64(len(set))])
+			c.consider(p, set[mix(d.Prefix+i)%uint64(len(set))], d, affinityPrior)
 		}
 	}
 	for range candidates {
-		consider(set[rand.IntN(len(set))])
+		b := set[rand.IntN(len(set))]
+		p.learn(b)
+		c.consider(p, b, d, 0)
 	}
-	if best == nil {
+	if c.best == nil {
 		return p.pickFrom(set, d, rand.IntN(len(set)))
 	}
-	return best
+	return c.best
+}
+
+// meanSmoothing is the weight of one candidate in the mean load.
+const meanSmoothing = 0.05
+
+// serviceTolerance is the relative difference of a service time from the mean
+// that counts as noise.
+const serviceTolerance = 0.3
+
+// learn takes a random candidate into the means. A lost update does no harm.
+func (p *Picker) learn(b *Backend) {
+	smooth(&p.meanOthers, float64(b.others.Load())/float64(b.concurrency.Load()))
+	smooth(&p.meanService, b.getService())
+}
+
+func smooth(mean *atomic.Uint64, sample float64) {
+	old := math.Float64frombits(mean.Load())
+	if old == 0 {
+		old = sample
+	}
+	mean.Store(math.Float64bits(old + meanSmoothing*(sample-old)))
+}
+
+// getService is the service time in seconds. Within serviceTolerance of the mean
+// a difference is taken for noise, which all entries would follow at once.
+func (p *Picker) getService(b *Backend) float64 {
+	own, mean := b.getService(), math.Float64frombits(p.meanService.Load())
+	if mean > 0 && math.Abs(own-mean) < serviceTolerance*mean {
+		return mean
+	}
+	return own
 }
 
 // Score is the expected completion time in seconds, with penalties for failures
 // and for a backend server that has just come.
-func (p *Picker) Score(b *Backend, d Demand) float64 {
+func (p *Picker) Score(b *Backend, d Demand) float64 { return p.score(b, d, 0) }
+
+// score takes prior as the least probability that the prefix is cached.
+func (p *Picker) score(b *Backend, d Demand, prior float64) float64 {
 	now := d.Now.UnixNano()
-	service := time.Duration(b.service.Load()).Seconds()
+	service := p.getService(b)
 	slots := float64(b.concurrency.Load())
-	rounds := max(b.load()+1-slots, 0) / slots
-	run := service * (1 - prefixGain*b.cached(d.Prefix, now))
+	load := b.load(now, math.Float64frombits(p.meanOthers.Load()))
+	rounds := max(load+1-slots, 0) / slots
+	run := service * (1 - prefixGain*max(b.cached(d.Prefix, now), prior))
 	// Below the limit, a fuller engine still steps slower.
-	run *= 1 + 0.5*min(b.load()/slots, 1)
+	run *= 1 + fullSlowdown*min(load/slots, 1)
 	score := (rounds*service + run) / b.warmth(now)
 	if b.Zone != p.zone {
 		score += 2 * p.hop.Seconds()
--- a/internal/routing/tracker/tracker.go
+++ b/internal/routing/tracker/tracker.go
@@ -365,6 +365,7 @@
 		Running: int(status.GetRunning()), Queued: int(status.GetQueued()), Concurrency: int(status.GetConcurrency()),
 		Service: time.Duration(status.GetServiceTimeMicros()) * time.Microsecond,
 		Ready:   status.GetReady(), Leaving: status.GetLeaving() || t.listedLeaving, Stalled: status.GetGroupStalled(),
+		At: t.heard,
 	})
 	return known
 }
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -96,7 +96,7 @@
 			SeedPeers:     []netip.AddrPort{},
 			ZoneHop:       500 * time.Microsecond,
 			ClientHop:     time.Millisecond,
-			Candidates:    4,
+			Candidates:    2,
 			RemoteAgents:  0,
 			OperatorKeys:  []OperatorKey{},
 			MaxBody:       1 << 20,
