--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -10,7 +10,10 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+	"github.com/charmbracelet/log"
 
+	"siskinfall/internal/expert/evaluator"
+	"siskinfall/internal/standin/bencher"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
 )
@@ -18,6 +21,7 @@
 type args struct {
 	Platform *platformCmd `arg:"subcommand:platform" help:"run the stand-in platform"`
 	Backend  *backendCmd  `arg:"subcommand:backend" help:"run a stand-in backend server"`
+	Bench    *benchCmd    `arg:"subcommand:bench" help:"measure the path and the placement of experts"`
 }
 
 // command is one subcommand.
@@ -54,6 +58,25 @@
 	return serve(c.Listen, s.Handler())
 }
 
+type benchCmd struct {
+	Path bool   `arg:"--path" help:"measure the path only"`
+	Maps bool   `arg:"--maps" help:"measure the placement of experts only"`
+	Seed uint64 `arg:"--seed" default:"1"`
+}
+
+func (c *benchCmd) run() error {
+	log.SetLevel(log.ErrorLevel)
+	if !c.Maps {
+		if err := bencher.WritePath(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if c.Path {
+		return nil
+	}
+	return evaluator.Write(os.Stdout, c.Seed)
+}
+
 // readHeaderTimeout bounds the wait for a request's head.
 const readHeaderTimeout = time.Minute
 
--- a/internal/agent/driver/driver.go
+++ b/internal/agent/driver/driver.go
@@ -43,6 +43,8 @@
 	Status  int
 	Headers []*encoder.Header
 	Body    io.ReadCloser
+	// Length is that of the body, -1 if it is not known before its end.
+	Length int64
 	// Stream says that the answer is a stream of server-sent events.
 	Stream bool
 }
@@ -84,7 +86,7 @@
 	if c.Idempotent {
 		transport = d.kept
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := transport.RoundTrip(req) //nolint:bodyclose // the caller closes Answer.Body
 	if err != nil && !connected.Load() {
 		return nil, wrapper.At("backend_connect", d.addr.String(), errors.Join(ErrNotSent, err))
 	}
@@ -123,7 +125,7 @@
 }
 
 func newAnswer(resp *http.Response) *Answer {
-	a := &Answer{Status: resp.StatusCode, Body: resp.Body}
+	a := &Answer{Status: resp.StatusCode, Body: resp.Body, Length: resp.ContentLength}
 	for _, name := range []string{"Content-Type", "Location", "Etag", "Cache-Control", "X-Attempt-Id"} {
 		if v := resp.Header.Get(name); v != "" {
 			a.Headers = append(a.Headers, &encoder.Header{Name: name, Value: v})
--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -32,6 +32,7 @@
 	errTooLarge  = errors.New("answer is too large")
 )
 
+// send writes an event, behind those that were buffered.
 func (a *attempt) send(ev *encoder.RunEvent) {
 	ev.AttemptId = a.req.GetAttemptId()
 	if err := a.st.Send(ev); err != nil {
@@ -39,6 +40,14 @@
 	}
 }
 
+// buffer keeps an event back until the next send.
+func (a *attempt) buffer(ev *encoder.RunEvent) {
+	ev.AttemptId = a.req.GetAttemptId()
+	if err := a.st.Buffer(ev); err != nil {
+		log.Debug("event not sent", "error", err)
+	}
+}
+
 // refuse ends the attempt without an answer.
 func (a *attempt) refuse(code, step string, execution encoder.Execution, detail string) {
 	if execution == encoder.Execution_EXECUTION_NOT_RUN {
@@ -52,12 +61,19 @@
 	}}})
 }
 
-func (a *attempt) sendHead(h *encoder.Head) {
-	a.send(&encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: h}})
+// bufferHead is sent together with what follows it.
+func (a *attempt) bufferHead(h *encoder.Head) {
+	a.buffer(&encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: h}})
 }
 
-func (a *attempt) sendChunk(data []byte) {
-	a.send(&encoder.RunEvent{Kind: &encoder.RunEvent_Chunk{Chunk: &encoder.Chunk{Offset: a.offset, Data: data}}})
+// sendChunk passes data on; with more to come at once it may be kept back.
+func (a *attempt) sendChunk(data []byte, more bool) {
+	ev := &encoder.RunEvent{Kind: &encoder.RunEvent_Chunk{Chunk: &encoder.Chunk{Offset: a.offset, Data: data}}}
+	if more {
+		a.buffer(ev)
+	} else {
+		a.send(ev)
+	}
 	a.offset += uint64(len(data))
 	_, _ = a.sum.Write(data)
 }
@@ -68,10 +84,10 @@
 
 // sendWhole sends an answer that is complete.
 func (a *attempt) sendWhole(answer *guard.Answer, replayed bool) {
-	a.sendHead(&encoder.Head{Status: uint32(answer.Status), Headers: answer.Headers, Replayed: replayed})
+	a.bufferHead(&encoder.Head{Status: uint32(answer.Status), Headers: answer.Headers, Replayed: replayed})
 	for rest := answer.Body; len(rest) > 0; {
 		n := min(len(rest), chunkSize)
-		a.sendChunk(rest[:n])
+		a.sendChunk(rest[:n], true)
 		rest = rest[n:]
 	}
 	a.sendEnd()
@@ -83,10 +99,11 @@
 		return a.copyEvents(bufio.NewReaderSize(answer.Body, chunkSize))
 	}
 	buf := make([]byte, chunkSize)
-	for {
+	for total := int64(0); ; {
 		n, err := answer.Body.Read(buf)
+		total += int64(n)
 		if n > 0 {
-			a.sendChunk(buf[:n])
+			a.sendChunk(buf[:n], total == answer.Length)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -124,7 +141,7 @@
 		done = bytes.HasPrefix(event[start:], []byte(doneEvent))
 		start = len(event)
 		if r.Buffered() == 0 || done || len(event) >= chunkSize {
-			a.sendChunk(event)
+			a.sendChunk(event, done)
 			event, start = event[:0], 0
 		}
 	}
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -159,7 +159,7 @@
 		a.refuse(encoder.CodeBroken, "check_answer", encoder.Execution_EXECUTION_UNKNOWN, err.Error())
 		return
 	}
-	a.sendHead(&encoder.Head{Status: uint32(answer.Status), Headers: answer.Headers})
+	a.bufferHead(&encoder.Head{Status: uint32(answer.Status), Headers: answer.Headers})
 	if err := a.copyBody(answer); err != nil {
 		a.fail(ctx, err)
 		return
--- a/internal/config/registrar/ticket.go
+++ b/internal/config/registrar/ticket.go
@@ -69,7 +69,7 @@
 
 // aggregates returns everything the ticket sets.
 func (t *Ticket) aggregates() []Aggregate {
-	var list []Aggregate
+	list := make([]Aggregate, 0, len(t.Accounts)+len(t.Services)+len(t.Groups)+len(t.Rankings))
 	for _, a := range t.Accounts {
 		list = append(list, a)
 	}
--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -60,9 +60,9 @@
 	case errors.Is(err, errCaller):
 		return &finished{&CallerGone{}}
 	case err != nil:
-		return j.afterError(target, err)
+		return j.afterError(ctx, target, err)
 	case refusal != nil:
-		return j.afterRefusal(target, refusal)
+		return j.afterRefusal(ctx, target, refusal)
 	}
 	j.Trace.Add("complete", "status %d by %s", j.status, target.Name)
 	return &finished{&Completed{Status: j.status, FirstByte: j.first}}
@@ -200,16 +200,16 @@
 }
 
 // afterError decides what follows an attempt that broke off.
-func (j *job) afterError(target *tracker.Target, err error) step {
+func (j *job) afterError(ctx context.Context, target *tracker.Target, err error) step {
 	j.Trace.Add("attempt", "%s broke off: %v", target.Name, err)
 	j.last = &encoder.Refusal{Code: encoder.CodeBroken, Step: "receive_answer", Detail: "the connection to the backend server broke"}
-	return j.resumeOrEnd()
+	return j.resumeOrEnd(ctx)
 }
 
 // resumeOrEnd goes on unless the caller has a part that cannot be continued.
-func (j *job) resumeOrEnd() step {
+func (j *job) resumeOrEnd(ctx context.Context) step {
 	if j.head && (!j.Idempotent || !j.canResume()) {
-		return &finished{j.giveUp(context.Background(), j.last.GetCode(), j.last.GetStep())}
+		return &finished{j.giveUp(ctx, j.last.GetCode(), j.last.GetStep())}
 	}
 	return &again{}
 }
@@ -220,7 +220,7 @@
 }
 
 // afterRefusal decides what follows an agent's refusal.
-func (j *job) afterRefusal(target *tracker.Target, r *encoder.Refusal) step {
+func (j *job) afterRefusal(ctx context.Context, target *tracker.Target, r *encoder.Refusal) step {
 	j.Trace.Add("attempt", "%s refused: %s at %s, execution %s", target.Name, r.GetCode(), r.GetStep(), ExecutionName(r.GetExecution()))
 	j.last = r
 	if r.GetExecution() != encoder.Execution_EXECUTION_NOT_RUN {
@@ -228,7 +228,7 @@
 	}
 	switch r.GetCode() {
 	case encoder.CodeConfigStale:
-		return j.afterStale(r)
+		return j.afterStale(ctx, r)
 	case encoder.CodeConfigBehind:
 		j.onBehind(target)
 		j.untry()
@@ -236,7 +236,7 @@
 	case encoder.CodeClosed:
 		return j.afterClosed(r)
 	case encoder.CodeKeyReused, encoder.CodeCulprit:
-		return &finished{j.giveUp(context.Background(), r.GetCode(), r.GetStep())}
+		return &finished{j.giveUp(ctx, r.GetCode(), r.GetStep())}
 	case encoder.CodeOutcomeUnknown:
 		return &finished{j.newUnknown(r)}
 	case encoder.CodeCrashed:
@@ -246,9 +246,9 @@
 		return &again{free: true}
 	}
 	if !j.Idempotent && r.GetExecution() != encoder.Execution_EXECUTION_NOT_RUN {
-		return &finished{j.giveUp(context.Background(), r.GetCode(), r.GetStep())}
+		return &finished{j.giveUp(ctx, r.GetCode(), r.GetStep())}
 	}
-	return j.resumeOrEnd()
+	return j.resumeOrEnd(ctx)
 }
 
 // untry lets the target of the last attempt be picked again, at no cost.
@@ -258,12 +258,12 @@
 }
 
 // afterStale takes in the newer configuration and decides anew.
-func (j *job) afterStale(r *encoder.Refusal) step {
+func (j *job) afterStale(ctx context.Context, r *encoder.Refusal) step {
 	j.book.Apply(r.GetEntities())
 	snap := j.book.Get()
 	svc := snap.Services[j.Service.Name]
 	if svc == nil || svc.IsIdempotent(j.Method, j.Path) != j.Idempotent {
-		return &finished{j.giveUp(context.Background(), r.GetCode(), r.GetStep())}
+		return &finished{j.giveUp(ctx, r.GetCode(), r.GetStep())}
 	}
 	j.Service = svc
 	j.Number = snap.GetNumber(registrar.Ref{Kind: registrar.KindService, Name: svc.Name})
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -139,7 +139,6 @@
 	resumable bool
 	isolated  bool
 	last      *encoder.Refusal
-	lastPeer  string
 }
 
 // maxResume is the most of a stream that is kept for resumption, in bytes.
--- a/internal/entry/server/admin.go
+++ b/internal/entry/server/admin.go
@@ -179,8 +179,8 @@
 	log.Info("ticket accepted", "number", t.Number, "author", t.Author)
 	s.recorder.AddEvent("ticket", "ticket %d by %s accepted", t.Number, t.Author)
 	s.book.Apply(entities)
-	limit, err := time.ParseDuration(wait)
-	if err != nil || limit <= 0 {
+	limit := parseWait(wait)
+	if limit <= 0 {
 		return result, nil
 	}
 	result.Waited = true
@@ -189,6 +189,15 @@
 	return result, nil
 }
 
+// parseWait reads how long to wait for a ticket; 0 for anything but a time.
+func parseWait(text string) time.Duration {
+	limit, err := time.ParseDuration(text)
+	if err != nil {
+		return 0
+	}
+	return limit
+}
+
 // diff tells what states would change.
 func (s *Server) diff(entities []*encoder.Entity) []Change {
 	snap := s.book.Get()
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -144,8 +144,9 @@
 }
 
 func (s *Server) updatePeers() {
-	var names []string
-	for _, in := range s.tracker.GetPeers() {
+	peers := s.tracker.GetPeers()
+	names := make([]string, 0, len(peers))
+	for _, in := range peers {
 		names = append(names, in.Name)
 	}
 	s.limiter.SetPeers(names)
--- a/internal/execution/guard/guard.go
+++ b/internal/execution/guard/guard.go
@@ -108,11 +108,8 @@
 		conflict := storer.IsErrConflict(err)
 		cur, exec, err := g.read(ctx, r.ID)
 		switch {
-		case err != nil && conflict && try == 0:
-			return &Denial{Reason: ReasonStore}, nil
 		case err != nil:
-			g.cleanUp(r)
-			return &Denial{Reason: ReasonStore}, nil
+			return g.denyUnread(r, conflict && try == 0), nil
 		case exec == nil:
 			row = storer.Row{}
 		case exec.isOwn(g.owner, r.Attempt) && exec.State == StateRunning:
@@ -127,6 +124,15 @@
 	return &Denial{Reason: ReasonStore}, nil
 }
 
+// denyUnread refuses a request whose row cannot be read. Unless none of its
+// inserts can have had an effect, the row is cleaned up later.
+func (g *Guard) denyUnread(r Request, noEffect bool) Decision {
+	if !noEffect {
+		g.cleanUp(r)
+	}
+	return &Denial{Reason: ReasonStore}
+}
+
 func (g *Guard) newExecution(r Request) *Execution {
 	return &Execution{
 		Generation: max(r.Generation, 1), State: StateRunning, Digest: r.Digest,
--- a/internal/expert/evaluator/evaluator.go
+++ b/internal/expert/evaluator/evaluator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -114,7 +115,7 @@
 	slow.SlowRank, slow.SlowSpeed = 5, 0.7
 	stall := make1("rank stalls for 40 windows, zipf 0.8", tracer.Drift, 0.8, 1, 0.1)
 	stall.StallFrom, stall.StallTo = 100, 140
-	return append(list, slow, stall)
+	return slices.Concat(list, []Case{slow, stall})
 }
 
 // Ways are the measured ways, the baselines first.
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -122,7 +122,7 @@
 
 func decodeSlice(n *yaml.Node, v reflect.Value, path string) []Problem {
 	list := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
-	var problems []Problem
+	problems := make([]Problem, 0, len(n.Content))
 	for i, item := range n.Content {
 		problems = append(problems, decode(item, list.Index(i), fmt.Sprintf("%s[%d]", path, i))...)
 	}
--- /dev/null
+++ b/internal/standin/bencher/path.go
@@ -0,0 +1,246 @@
+// Package bencher measures the running program on one machine: the cost of the
+// path beside plain hops, and the slopes behind the capacity page.
+package bencher
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/standin/checker"
+	"siskinfall/internal/standin/responder"
+	"siskinfall/internal/standin/starter"
+)
+
+// Conditions of the path's measurement.
+const (
+	pathClients  = 64
+	pathRequests = 20000
+	pathRounds   = 3
+	// pathRate is the equal load, in requests a second.
+	pathRate = 3000
+	// engineTime is how long the engine takes in the measurement of latency.
+	engineTime = 5 * time.Millisecond
+)
+
+// Result is the measurement of one path.
+type Result struct {
+	Name string
+	P50  time.Duration
+	P99  time.Duration
+	// Rate is in requests a second.
+	Rate float64
+	// Failed counts requests without a whole answer.
+	Failed int
+}
+
+// hop is a plain HTTP hop that decides nothing.
+func hop(next netip.AddrPort) (netip.AddrPort, func(), error) {
+	ln, err := net.Listen("tcp", starter.AnyPort.String())
+	if err != nil {
+		return netip.AddrPort{}, nil, err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}}
+	srv := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		forward(client, next, w, r)
+	})}
+	go func() { _ = srv.Serve(ln) }()
+	return ln.Addr().(*net.TCPAddr).AddrPort(), func() { _ = srv.Close() }, nil
+}
+
+func forward(client *http.Client, next netip.AddrPort, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+next.String()+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header = r.Header.Clone()
+	resp, err := client.Do(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for name, values := range resp.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(resp.StatusCode)
+	_, _ = io.Copy(w, resp.Body)
+}
+
+// startPaths starts the product's path and the baseline before equal engines.
+func startPaths(latency time.Duration) (product, baseline netip.AddrPort, stop func(), err error) {
+	fleet, err := starter.New(starter.WithSettings(func(cfg *loader.Settings) { cfg.Agent.Concurrency = 4 * pathClients }))
+	if err != nil {
+		return product, baseline, nil, err
+	}
+	entry, err := fleet.AddEntry("entry-1", "zone-a")
+	if err != nil {
+		return product, baseline, nil, err
+	}
+	agent, err := fleet.AddAgent("agent-1", "zone-a", "assistant-llm", "", responder.Faults{Latency: latency})
+	if err != nil {
+		return product, baseline, nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := fleet.ApplyAndWait(ctx, "entry-1", benchTicket, 1); err != nil {
+		return product, baseline, nil, err
+	}
+	second, stopSecond, err := hop(agent.Backend.Addr())
+	if err != nil {
+		return product, baseline, nil, err
+	}
+	first, stopFirst, err := hop(second)
+	if err != nil {
+		return product, baseline, nil, err
+	}
+	stop = func() {
+		stopFirst()
+		stopSecond()
+		fleet.Close()
+	}
+	return entry.Settings.Listen.Callers, first, stop, nil
+}
+
+var benchTicket = fmt.Sprintf(`number: 1
+author: bench
+client_accounts:
+  - {name: caller, key_sha256: [%s], class: field, weight: 1}
+services:
+  - name: assistant-llm
+    kind: model
+    timeout: 30s
+    attempts: 3
+    retry_budget: 0.2
+    execution_retention: 1h
+    objective: {availability: 0.99, first_byte: 1s}
+  - name: member-desk
+    kind: plain
+    path_prefix: /desk/
+    timeout: 10s
+    attempts: 3
+    retry_budget: 0.2
+    execution_retention: 1h
+    objective: {availability: 0.99, first_byte: 1s}
+`, starter.HashKey(starter.DemoKey))
+
+// meter collects results of concurrent requests.
+type meter struct {
+	mu     sync.Mutex
+	hist   *hdrhistogram.Histogram
+	failed int
+	start  time.Time
+}
+
+func newMeter() *meter {
+	return &meter{hist: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), start: time.Now()}
+}
+
+func (m *meter) add(elapsed time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.hist.RecordValue(elapsed.Microseconds())
+	if !ok {
+		m.failed++
+	}
+}
+
+func (m *meter) result(name string) Result {
+	return Result{
+		Name: name, P50: time.Duration(m.hist.ValueAtQuantile(50)) * time.Microsecond,
+		P99:  time.Duration(m.hist.ValueAtQuantile(99)) * time.Microsecond,
+		Rate: float64(m.hist.TotalCount()) / time.Since(m.start).Seconds(), Failed: m.failed,
+	}
+}
+
+// load sends requests from pathClients clients, each waiting for its answer.
+func load(name string, addr netip.AddrPort, requests int, newCall func(i int) checker.Call) Result {
+	client := checker.NewClient(starter.DemoKey)
+	m := newMeter()
+	var wg sync.WaitGroup
+	for c := range pathClients {
+		wg.Go(func() {
+			for i := c; i < requests; i += pathClients {
+				t := client.Do(context.Background(), addr, newCall(i))
+				m.add(t.Elapsed, t.IsAnswered())
+			}
+		})
+	}
+	wg.Wait()
+	return m.result(name)
+}
+
+// pace sends requests at a rate, whether or not earlier ones are answered. The
+// time of a request counts from when it was due.
+func pace(name string, addr netip.AddrPort, rate, requests int, newCall func(i int) checker.Call) Result {
+	client := checker.NewClient(starter.DemoKey)
+	m := newMeter()
+	var wg sync.WaitGroup
+	for i := range requests {
+		due := m.start.Add(time.Duration(i) * time.Second / time.Duration(rate))
+		time.Sleep(time.Until(due))
+		wg.Go(func() {
+			t := client.Do(context.Background(), addr, newCall(i))
+			m.add(time.Since(due), t.IsAnswered())
+		})
+	}
+	wg.Wait()
+	return m.result(name)
+}
+
+// WritePath measures both paths in turn, several rounds, and prints ratios.
+func WritePath(w io.Writer) error {
+	for _, c := range []struct {
+		name    string
+		latency time.Duration
+	}{{"engine 5 ms", engineTime}, {"engine 0 ms", 0}} {
+		if err := writePath(w, c.name, c.latency); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writePath(w io.Writer, name string, latency time.Duration) error {
+	product, baseline, stop, err := startPaths(latency)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	call := func(i int) checker.Call {
+		return checker.Call{Kind: checker.KindWhole, Service: "assistant-llm", Payload: fmt.Sprint("prompt ", i), Tokens: 20}
+	}
+	load("warm", product, pathRequests/10, call)
+	load("warm", baseline, pathRequests/10, call)
+	for round := range pathRounds {
+		name := fmt.Sprintf("%s, round %d", name, round+1)
+		compare(w, name+", 64 clients",
+			load("two plain hops", baseline, pathRequests, call),
+			load("entry and agent", product, pathRequests, call))
+		compare(w, name+", equal load",
+			pace("two plain hops", baseline, pathRate, pathRequests/2, call),
+			pace("entry and agent", product, pathRate, pathRequests/2, call))
+	}
+	return nil
+}
+
+func compare(w io.Writer, name string, plain, ours Result) {
+	for _, r := range []Result{plain, ours} {
+		_, _ = fmt.Fprintf(w, "%s: %-16s p50 %8s p99 %8s %7.0f requests/s, %d failed\n", name, r.Name, r.P50, r.P99, r.Rate, r.Failed)
+	}
+	_, _ = fmt.Fprintf(w, "%s: ratios p50 %.2f p99 %.2f rate %.2f\n", name,
+		float64(ours.P50)/float64(plain.P50), float64(ours.P99)/float64(plain.P99), ours.Rate/plain.Rate)
+}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -181,6 +181,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/wire/connector/acceptor.go
+++ b/internal/wire/connector/acceptor.go
@@ -51,13 +51,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = conn.Close() }()
-	counted := &countedConn{Conn: conn}
-	peer, err := handshake(counted, a.own, false)
+	peer, err := handshake(conn, a.own, false)
 	if err != nil {
 		log.Warn("session refused", "step", "handshake", "peer", conn.RemoteAddr(), "error", err)
 		return
 	}
-	session, err := yamux.Server(counted, newConfig())
+	session, err := yamux.Server(newCoalescer(conn), newConfig())
 	if err != nil {
 		return
 	}
@@ -74,7 +73,7 @@
 
 func (a *Acceptor) serveStream(ctx context.Context, peer *encoder.Hello, conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	s := &Stream{conn: conn, reader: encoder.NewReader(conn), peer: peer.GetInstance()}
+	s := newStream(conn, peer.GetInstance())
 	open := &encoder.Open{}
 	if err := s.Receive(open); err != nil {
 		if !errors.Is(err, net.ErrClosed) {
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -3,6 +3,7 @@
 package connector
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -24,14 +25,22 @@
 	writeTimeout     = 5 * time.Second
 )
 
+// writeBuffer is the size of a stream's write buffer, in bytes.
+const writeBuffer = 1 << 10
+
 // Stream is one exchange of messages with a peer.
 type Stream struct {
 	conn   net.Conn
 	reader *encoder.Reader
+	writer *bufio.Writer
 	// peer is the name of the instance at the other end.
 	peer string
 }
 
+func newStream(conn net.Conn, peer string) *Stream {
+	return &Stream{conn: conn, reader: encoder.NewReader(conn), writer: bufio.NewWriterSize(conn, writeBuffer), peer: peer}
+}
+
 // Peer returns the name of the instance at the other end.
 func (s *Stream) Peer() string { return s.peer }
 
@@ -130,7 +139,7 @@
 		p.Drop(addr)
 		return nil, wrapper.At("open_stream", hello.GetInstance(), err)
 	}
-	s := &Stream{conn: conn, reader: encoder.NewReader(conn), peer: hello.GetInstance()}
+	s := newStream(conn, hello.GetInstance())
 	if err := s.Send(open); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -221,13 +230,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	counted := &countedConn{Conn: conn}
-	hello, err := handshake(counted, own, true)
+	hello, err := handshake(conn, own, true)
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, wrapper.At("handshake", addr.String(), err)
 	}
-	session, err := yamux.Client(counted, newConfig())
+	session, err := yamux.Client(newCoalescer(conn), newConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, err
--- a/internal/wire/connector/stream.go
+++ b/internal/wire/connector/stream.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"net"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
@@ -13,9 +12,17 @@
 // Message is a wire message.
 type Message = proto.Message
 
-// Send writes one message.
+// Send writes one message, behind those that were buffered.
 func (s *Stream) Send(m Message) error {
-	return wrapper.At("send_frame", s.peer, encoder.Write(s.conn, m))
+	if err := s.Buffer(m); err != nil {
+		return err
+	}
+	return wrapper.At("send_frame", s.peer, s.writer.Flush())
+}
+
+// Buffer keeps a message back until the next Send.
+func (s *Stream) Buffer(m Message) error {
+	return wrapper.At("send_frame", s.peer, encoder.Write(s.writer, m))
 }
 
 // Receive reads one message. After an error the stream is closed.
@@ -33,22 +40,3 @@
 func GetStats() Stats {
 	return Stats{Sent: sent.Load(), Received: received.Load()}
 }
-
-// countedConn counts the bytes of a session.
-type countedConn struct {
-	net.Conn
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	received.Add(uint64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	sent.Add(uint64(n))
-	return n, err
-}
--- a/internal/wire/encoder/frame.go
+++ b/internal/wire/encoder/frame.go
@@ -16,6 +16,9 @@
 // MaxFrame is the largest frame accepted, in bytes.
 const MaxFrame = 8 << 20
 
+// readBuffer is the size of a Reader's buffer, in bytes.
+const readBuffer = 1 << 10
+
 // Reader reads frames from one stream. It is used by one goroutine.
 type Reader struct {
 	r *bufio.Reader
@@ -23,7 +26,7 @@
 
 // NewReader returns a Reader over r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{r: bufio.NewReader(r)}
+	return &Reader{r: bufio.NewReaderSize(r, readBuffer)}
 }
 
 // Read decodes the next frame into m. A frame above MaxFrame is an error.
