Mend races of the coordinator's test bench

Cause: the race detector found the bench reading a member's agent while another goroutine replaced it. Change: one accessor under the lock.

--- a/internal/expert/coordinator/coordinator_test.go
+++ b/internal/expert/coordinator/coordinator_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
@@ -21,6 +22,11 @@
 	"siskinfall/internal/wire/encoder"
 )
 
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	os.Exit(m.Run())
+}
+
 var errLost = errors.New("message lost")
 
 // bench is a group whose messages are lost, late and doubled, and whose agents,
@@ -133,13 +139,16 @@
 	return o.GetKind() == encoder.OrderKind_ORDER_COMMIT || o.GetKind() == encoder.OrderKind_ORDER_ABORT
 }
 
+func (b *bench) getAgent(m *member) *follower.Follower {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return m.agent
+}
+
 // Call implements Transport over a network with faults.
 func (b *bench) Call(ctx context.Context, name string, o *encoder.GroupOrder) (*encoder.GroupReply, error) {
 	deliver := func() *encoder.GroupReply {
-		b.mu.Lock()
-		agent := b.members[name].agent
-		b.mu.Unlock()
-		return agent.Handle(proto.CloneOf(o))
+		return b.getAgent(b.members[name]).Handle(proto.CloneOf(o))
 	}
 	if b.chance(lateness(o)) {
 		// Late and twice: these arrive when the caller has long given up.
@@ -210,7 +219,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if err := b.members["m0"].agent.ConfirmStep(assignments); err != nil {
+	if err := b.getAgent(b.members["m0"]).ConfirmStep(assignments); err != nil {
 		b.clash = err.Error()
 		return false
 	}
@@ -276,7 +285,7 @@
 		for i := range s.Counts {
 			s.Counts[i] = uint64(b.random(1000)) * (1 + (b.reached/97+uint64(i))%5)
 		}
-		m.agent.AddSample(s)
+		b.getAgent(m).AddSample(s)
 	}
 }
 
