--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 bench: build
 	go test -run '^$$' -bench . -benchtime 1s ./...
+	SISKINFALL_BENCH=1 go test -count=1 -v -run 'TestRoutingWays|TestOverload' ./internal/routing/picker
 	./bin/standin bench
 
 capacity: build
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 type args struct {
 	Platform *platformCmd `arg:"subcommand:platform" help:"run the stand-in platform"`
 	Backend  *backendCmd  `arg:"subcommand:backend" help:"run a stand-in backend server"`
+	Capacity *capacityCmd `arg:"subcommand:capacity" help:"measure the slopes of the capacity page"`
 	Bench    *benchCmd    `arg:"subcommand:bench" help:"measure the path and the placement of experts"`
 }
 
@@ -59,22 +60,40 @@
 }
 
 type benchCmd struct {
-	Path bool   `arg:"--path" help:"measure the path only"`
-	Maps bool   `arg:"--maps" help:"measure the placement of experts only"`
-	Seed uint64 `arg:"--seed" default:"1"`
+	Path    bool   `arg:"--path" help:"measure the path only"`
+	Maps    bool   `arg:"--maps" help:"measure the placement of experts only"`
+	Tickets bool   `arg:"--tickets" help:"measure how tickets spread only"`
+	Seed    uint64 `arg:"--seed" default:"1"`
 }
 
 func (c *benchCmd) run() error {
 	log.SetLevel(log.ErrorLevel)
-	if !c.Maps {
-		if err := bencher.WritePath(os.Stdout); err != nil {
+	all := !c.Path && !c.Maps && !c.Tickets
+	for _, part := range []struct {
+		wanted bool
+		run    func() error
+	}{
+		{c.Path, func() error { return bencher.WritePath(os.Stdout) }},
+		{c.Tickets, func() error { return bencher.WriteTickets(os.Stdout) }},
+		{c.Maps, func() error { return evaluator.Write(os.Stdout, c.Seed) }},
+	} {
+		if !part.wanted && !all {
+			continue
+		}
+		if err := part.run(); err != nil {
 			return err
 		}
 	}
-	if c.Path {
-		return nil
-	}
-	return evaluator.Write(os.Stdout, c.Seed)
+	return nil
+}
+
+type capacityCmd struct {
+	Write string `arg:"--write,required" help:"page whose measured part is replaced"`
+}
+
+func (c *capacityCmd) run() error {
+	log.SetLevel(log.ErrorLevel)
+	return bencher.WriteCapacity(os.Stderr, c.Write)
 }
 
 // readHeaderTimeout bounds the wait for a request's head.
--- a/internal/admission/limiter/limiter.go
+++ b/internal/admission/limiter/limiter.go
@@ -30,20 +30,22 @@
 	demandSmoothing = 0.3
 	// limitTolerance is the relative change of a limit that is passed over.
 	limitTolerance = 0.01
-	// peerLife is how long a silent peer keeps its share.
-	peerLife = 30 * time.Second
+	// othersDecay bounds how fast the others' demand falls in one period: an
+	// instance that has just begun to sum knows only a part of it.
+	othersDecay = 0.5
 )
 
+// milli converts requests a second to the unit on the wire.
+const milli = 1000
+
 // Limiter is the part of one entry instance; it is safe for concurrent use.
 type Limiter struct {
 	instance string
 	zone     string
 	mu       sync.Mutex
 	accounts map[string]*usage
-	peers    map[string]*peer
 	// peerCount is the number of entry instances, this one included; at least 1.
 	peerCount int
-	seq       uint64
 	now       func() time.Time
 }
 
@@ -55,40 +57,26 @@
 	// arrivals counts requests since the last Tick.
 	arrivals int
 	// demand is smoothed, in requests a second.
-	demand   float64
+	demand float64
+	// others is the demand at all other instances, as last told; an instance that
+	// is cut off keeps to it, and so to its share.
+	others   float64
 	inFlight int
 }
 
-// peer is the latest report of another instance.
-type peer struct {
-	seq    uint64
-	heard  time.Time
-	demand map[string]float64
-}
-
 // New returns a Limiter.
 func New(instance, zone string) *Limiter {
 	return &Limiter{
 		instance: instance, zone: zone, peerCount: 1, now: time.Now,
-		accounts: make(map[string]*usage), peers: make(map[string]*peer),
+		accounts: make(map[string]*usage),
 	}
 }
 
-// SetPeers says which other entry instances are listed. One that is gone gives
-// its share back; one that is only silent keeps it for a while.
-func (l *Limiter) SetPeers(names []string) {
+// SetPeers says how many other entry instances are listed.
+func (l *Limiter) SetPeers(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peerCount = len(names) + 1
-	listed := make(map[string]bool, len(names))
-	for _, n := range names {
-		listed[n] = true
-	}
-	for name := range l.peers {
-		if !listed[name] {
-			delete(l.peers, name)
-		}
-	}
+	l.peerCount = n + 1
 }
 
 // Acquire counts a request in. The caller must call release when it ends. When
@@ -126,7 +114,7 @@
 		u = &usage{}
 		l.accounts[a.Name] = u
 	}
-	share := l.share(a.Name, u)
+	share := l.share(u)
 	limit := a.Rate * share
 	burst := max(int(math.Ceil(float64(a.Burst)*share)), 1)
 	switch {
@@ -144,13 +132,8 @@
 
 // share is this instance's part of a limit; over all instances with the same
 // view the shares add up to 1.
-func (l *Limiter) share(account string, u *usage) float64 {
-	total := u.demand
-	for _, p := range l.peers {
-		if l.now().Sub(p.heard) < peerLife {
-			total += p.demand[account]
-		}
-	}
+func (l *Limiter) share(u *usage) float64 {
+	total := u.demand + u.others
 	even := 1 / float64(l.peerCount)
 	if total == 0 {
 		return even
@@ -160,15 +143,14 @@
 
 // concurrencyShare rounds up, so each instance can run at least one request.
 func (l *Limiter) concurrencyShare(a *registrar.ClientAccount, u *usage) float64 {
-	return math.Ceil(float64(a.Concurrency) * l.share(a.Name, u))
+	return math.Ceil(float64(a.Concurrency) * l.share(u))
 }
 
-// Tick closes a period of the given length and returns the report for peers.
+// Tick closes a period of the given length and returns the report of demand.
 func (l *Limiter) Tick(period time.Duration) *encoder.ShareReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.seq++
-	report := &encoder.ShareReport{Instance: l.instance, Zone: l.zone, Sequence: l.seq}
+	report := &encoder.ShareReport{Instance: l.instance, Zone: l.zone}
 	for name, u := range l.accounts {
 		now := float64(u.arrivals) / period.Seconds()
 		u.demand += demandSmoothing * (now - u.demand)
@@ -178,23 +160,23 @@
 			continue
 		}
 		report.Uses = append(report.Uses, &encoder.AccountUse{
-			ClientAccount: name, DemandMilli: uint64(u.demand * 1000), InFlight: uint32(u.inFlight),
+			ClientAccount: name, DemandMilli: uint64(u.demand * milli),
 		})
 	}
 	return report
 }
 
-// Merge takes in a peer's report; an older one than the latest is dropped.
-func (l *Limiter) Merge(r *encoder.ShareReport) {
+// SetTotals takes in the sums of accounts' demand over all instances. They
+// include what this instance reported.
+func (l *Limiter) SetTotals(uses []*encoder.AccountUse) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.peers[r.GetInstance()]
-	if p != nil && p.seq >= r.GetSequence() && l.now().Sub(p.heard) < peerLife {
-		return
-	}
-	p = &peer{seq: r.GetSequence(), heard: l.now(), demand: make(map[string]float64, len(r.GetUses()))}
-	for _, u := range r.GetUses() {
-		p.demand[u.GetClientAccount()] = float64(u.GetDemandMilli()) / 1000
+	for _, use := range uses {
+		u := l.accounts[use.GetClientAccount()]
+		if u == nil {
+			continue
+		}
+		others := float64(use.GetDemandMilli())/milli - u.demand
+		u.others = max(others, u.others*othersDecay, 0)
 	}
-	l.peers[r.GetInstance()] = p
 }
--- a/internal/admission/limiter/limiter_test.go
+++ b/internal/admission/limiter/limiter_test.go
@@ -9,27 +9,31 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"siskinfall/internal/admission/aggregator"
 	"siskinfall/internal/config/registrar"
+	"siskinfall/internal/wire/encoder"
 )
 
-// fleet is the limiters of several entry instances that tell each other.
+// zones is the number of availability zones of a fleet.
+const zones = 3
+
+// fleet is the limiters of several entry instances in three zones, whose demand
+// one aggregator for each zone sums.
 type fleet struct {
-	limiters []*Limiter
-	// cut says which of them hear nobody and are heard by nobody.
+	limiters    []*Limiter
+	aggregators [zones]*aggregator.Aggregator
+	// cut says which zones hear no other and are heard by none.
 	cut map[int]bool
 }
 
 func newFleet(n int) *fleet {
 	f := &fleet{cut: make(map[int]bool)}
+	for z := range zones {
+		f.aggregators[z] = aggregator.New(fmt.Sprint(z))
+	}
 	for i := range n {
-		l := New(fmt.Sprint(i), "z")
-		var peers []string
-		for j := range n {
-			if j != i {
-				peers = append(peers, fmt.Sprint(j))
-			}
-		}
-		l.SetPeers(peers)
+		l := New(fmt.Sprint(i), fmt.Sprint(i%zones))
+		l.SetPeers(n - 1)
 		f.limiters = append(f.limiters, l)
 	}
 	return f
@@ -37,15 +41,23 @@
 
 func (f *fleet) tick() {
 	for i, l := range f.limiters {
-		report := l.Tick(time.Second)
-		for j, other := range f.limiters {
-			if i != j && !f.cut[i] && !f.cut[j] {
-				other.Merge(report)
+		l.SetTotals(f.aggregators[i%zones].Report(l.Tick(time.Second)).GetUses())
+	}
+	for from := range zones {
+		for to := range zones {
+			if from != to && !f.cut[from] && !f.cut[to] {
+				f.tellZone(from, to)
 			}
 		}
 	}
 }
 
+func (f *fleet) tellZone(from, to int) {
+	for _, uses := range f.aggregators[from].GetZoneSums() {
+		f.aggregators[to].MergeZone(&encoder.ShareReport{Zone: fmt.Sprint(from), Uses: uses})
+	}
+}
+
 // send sends n requests to one instance and returns how many were admitted.
 func (f *fleet) send(i int, a *registrar.ClientAccount, n int) int {
 	admitted := 0
@@ -96,6 +108,7 @@
 				c := qt.New(t)
 				a := &registrar.ClientAccount{Name: "a", Rate: 100, Burst: 20}
 				got := newFleet(9).admitted(a, 400, 30, weights)
+				t.Logf("limit 100, admitted %.1f a second", got)
 				c.Assert(got <= 105, qt.IsTrue, qt.Commentf("%v a second", got))
 				c.Assert(got >= 75, qt.IsTrue, qt.Commentf("%v a second", got))
 			})
@@ -110,8 +123,9 @@
 		a := &registrar.ClientAccount{Name: "a", Rate: 100, Burst: 20}
 		weights := []int{1, 1, 1, 1, 1, 1, 1, 1, 1}
 		f.admitted(a, 400, 10, weights)
-		f.cut[0], f.cut[1], f.cut[2] = true, true, true
+		f.cut[0] = true
 		got := f.admitted(a, 400, 20, weights)
+		t.Logf("limit 100, one zone cut off, admitted %.1f a second", got)
 		c.Assert(got <= 110, qt.IsTrue, qt.Commentf("%v a second", got))
 	})
 }
--- a/internal/admission/queuer/queuer.go
+++ b/internal/admission/queuer/queuer.go
@@ -55,8 +55,10 @@
 	maxWaiting, maxBytes int
 	classes              []*class
 	service              time.Duration
-	closed               bool
-	now                  func() time.Time
+	// adapter is nil when slots are fixed.
+	adapter *adapter
+	closed  bool
+	now     func() time.Time
 }
 
 // class holds the waiting work of one class.
@@ -353,6 +355,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.running--
+	if q.adapter != nil {
+		q.slots = q.adapter.next(q.now(), q.slots, held, q.running+1 >= q.slots)
+	}
 	switch {
 	case held <= 0:
 	case q.service == 0:
@@ -376,6 +381,14 @@
 	}
 }
 
+// IsLate reports whether work of the highest class waits for more than one round
+// of slots.
+func (q *Queue) IsLate() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.classes[0].waiting > q.slots
+}
+
 // Load is the state of a Queue at one moment.
 type Load struct {
 	Running, Waiting, Slots int
--- a/internal/admission/queuer/queuer_test.go
+++ b/internal/admission/queuer/queuer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,6 +138,42 @@
 	})
 }
 
+// A backend server that slows down beyond 8 requests at once gets fewer slots,
+// and gets them back when it is sound again.
+func TestSlotsFollowLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := NewQueue(32, WithAdaptation(2), WithLimits(1000, 1<<20))
+		knee := 8
+		serve := func() {
+			release, err := q.Acquire(context.Background(), Work{Account: "a", Deadline: time.Now().Add(time.Hour)})
+			if err != nil {
+				return
+			}
+			over := max(q.GetLoad().Running-knee, 0)
+			time.Sleep(10 * time.Millisecond * time.Duration(1+over))
+			release()
+		}
+		run := func(clients int) {
+			var wg sync.WaitGroup
+			for range clients {
+				wg.Go(func() {
+					for range 200 {
+						serve()
+					}
+				})
+			}
+			wg.Wait()
+		}
+		run(4)
+		run(64)
+		c.Assert(q.GetLoad().Slots <= 14, qt.IsTrue, qt.Commentf("%+v", q.GetLoad()))
+		knee = 1000
+		run(64)
+		c.Assert(q.GetLoad().Slots, qt.Equals, 32)
+	})
+}
+
 // Under any mix of calls no more than the slots run, and nothing is forgotten.
 func TestRandomisedSlotsAreConserved(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -35,6 +35,11 @@
 // send writes an event, behind those that were buffered.
 func (a *attempt) send(ev *encoder.RunEvent) {
 	ev.AttemptId = a.req.GetAttemptId()
+	switch ev.GetKind().(type) {
+	case *encoder.RunEvent_End, *encoder.RunEvent_Refusal:
+		load := a.queue.GetLoad()
+		ev.Load = &encoder.Load{Running: uint32(load.Running), Queued: uint32(load.Waiting)}
+	}
 	if err := a.st.Send(ev); err != nil {
 		log.Debug("event not sent", "error", err)
 	}
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -74,7 +74,7 @@
 		cfg:         cfg,
 		incarnation: incarnation,
 		driver:      driver.NewDriver(cfg.Agent.Backend),
-		queue:       queuer.NewQueue(cfg.Agent.Concurrency, queuer.WithLimits(cfg.Agent.QueueRequests, cfg.Agent.QueueBytes)),
+		queue:       newQueue(cfg.Agent),
 		guard:       guard.New(ctx, p, guard.Owner{Instance: cfg.Instance, Incarnation: incarnation}),
 		book:        book,
 		spreader:    spreader.New(book, nil, cfg.Instance),
@@ -82,7 +82,7 @@
 		drained:     make(chan struct{}),
 	}
 	if group := cfg.Agent.Group; group != "" {
-		f := follower.New(ctx, group, cfg.Instance, incarnation, driver.NewGroupDriver(cfg.Agent.Backend))
+		f := follower.New(ctx, group, cfg.Instance, incarnation, driver.NewGroupDriver(cfg.Agent.Backend), follower.WithLate(s.queue.IsLate))
 		s.group = leader.New(cfg.Instance, group, f, book, p, pool)
 	}
 	s.watch = isolator.NewWatch(cfg.Instance+"/"+strconv.FormatUint(incarnation, 36), s.probe)
@@ -90,6 +90,11 @@
 	return s
 }
 
+func newQueue(cfg loader.Agent) *queuer.Queue {
+	return queuer.NewQueue(cfg.Concurrency,
+		queuer.WithLimits(cfg.QueueRequests, cfg.QueueBytes), queuer.WithAdaptation(cfg.MinConcurrency))
+}
+
 // Book returns the configuration that concerns this agent.
 func (s *Server) Book() *registrar.Book { return s.book }
 
--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -108,7 +108,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = st.Close() })
 	defer stop()
 	defer func() { _ = st.Close() }()
-	refusal, err := j.receive(st, req)
+	refusal, err := j.receive(st, req, target)
 	if err != nil {
 		j.unresolved = true
 	}
@@ -134,7 +134,7 @@
 }
 
 // receive passes one attempt's events on until its end.
-func (j *job) receive(st *connector.Stream, req *encoder.RunRequest) (*encoder.Refusal, error) {
+func (j *job) receive(st *connector.Stream, req *encoder.RunRequest, target *tracker.Target) (*encoder.Refusal, error) {
 	sum := xxhash.New()
 	offset := uint64(len(req.GetResumePrefix()))
 	for {
@@ -147,6 +147,9 @@
 			_ = asserter.Holds(false, asserter.RuleOwnAnswer, "%s on the stream of %s", ev.GetAttemptId(), req.GetAttemptId())
 			return nil, wrapper.At("receive_answer", st.Peer(), errAttempt)
 		}
+		if load := ev.GetLoad(); load != nil {
+			target.SetLoad(int(load.GetRunning()+load.GetQueued()), time.Now())
+		}
 		switch k := ev.GetKind().(type) {
 		case *encoder.RunEvent_Head:
 			if err := j.passHead(k.Head); err != nil {
--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -21,8 +21,7 @@
 	case *encoder.Open_Config:
 		err = s.spreader.Handle(st, k.Config)
 	case *encoder.Open_Share:
-		s.limiter.Merge(k.Share)
-		err = st.Send(&encoder.StatusQuery{})
+		err = st.Send(s.takeShare(k.Share))
 	case *encoder.Open_Suspects:
 		s.addSuspects(k.Suspects.GetSuspects())
 		err = st.Send(&encoder.StatusQuery{})
@@ -37,17 +36,14 @@
 }
 
 // sync exchanges state with peers: the configuration with one that is picked
-// at random, the accounts' use with all of them.
+// at random, the demand of accounts with those that sum it.
 func (s *Server) sync(ctx context.Context) {
-	report := s.limiter.Tick(s.cfg.Entry.SyncInterval)
+	s.shareDemand(ctx)
 	peers := s.tracker.GetPeers()
 	if len(peers) == 0 {
 		s.askSeeds(ctx)
 		return
 	}
-	for _, in := range peers {
-		go s.tell(ctx, in, &encoder.Open{Kind: &encoder.Open_Share{Share: report}})
-	}
 	in := peers[rand.IntN(len(peers))]
 	if err := s.spreader.Exchange(ctx, in.Address); err != nil {
 		log.Debug("configuration not compared", "peer", in.Name, "error", err)
@@ -152,7 +148,6 @@
 		})
 	}
 	wg.Wait()
-	own := storer.Instance{Name: s.cfg.Instance, Zone: s.cfg.Zone, Address: s.cfg.Listen.Peers}
-	answers[len(peers)] = peerStatus{Instance: own, Status: s.getStatus(q)}
+	answers[len(peers)] = peerStatus{Instance: s.self(), Status: s.getStatus(q)}
 	return answers
 }
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"siskinfall/internal/admission/aggregator"
 	"siskinfall/internal/admission/limiter"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/config/registrar"
@@ -43,12 +45,17 @@
 	dispatcher  *dispatcher.Dispatcher
 	executions  *guard.Registry
 	limiter     *limiter.Limiter
-	suspects    *isolator.Set
-	recorder    *recorder.Recorder
-	burn        *burner.Counter
+	aggregator  *aggregator.Aggregator
+	// plan is never nil.
+	plan     atomic.Pointer[aggregator.Plan]
+	suspects *isolator.Set
+	recorder *recorder.Recorder
+	burn     *burner.Counter
 	// background bounds pushes that outlive the call that caused them.
 	background context.Context //nolint:containedctx // lifetime of the process
 
+	// polls counts the reads of the configuration.
+	polls atomic.Uint64
 	// configured says that the configuration came from the platform or a peer.
 	configured atomic.Bool
 	mu         sync.Mutex
@@ -67,11 +74,13 @@
 		registry:   registrar.NewRegistry(p),
 		executions: guard.NewRegistry(p),
 		limiter:    limiter.New(cfg.Instance, cfg.Zone),
+		aggregator: aggregator.New(cfg.Zone),
 		suspects:   isolator.NewSet(),
 		recorder:   recorder.New(cfg.Instance, cfg.Entry.ExplainRecent),
 		burn:       burner.NewCounter(),
 		drained:    make(chan struct{}),
 	}
+	s.plan.Store(aggregator.NewPlan([]storer.Instance{s.self()}))
 	s.pool = connector.NewPool(s.hello())
 	s.reader = registrar.NewReader(s.registry, s.book)
 	s.spreader = spreader.New(s.book, s.pool, cfg.Instance)
@@ -99,6 +108,11 @@
 	}
 }
 
+// self is this instance as the list shows it.
+func (s *Server) self() storer.Instance {
+	return storer.Instance{Name: s.cfg.Instance, Role: tracker.RoleEntry, Zone: s.cfg.Zone, Address: s.cfg.Listen.Peers}
+}
+
 // Hello returns how this instance introduces itself.
 func (s *Server) Hello() *encoder.Hello { return s.hello() }
 
@@ -136,6 +150,9 @@
 	} else {
 		s.setConfigured("platform")
 	}
+	if s.polls.Add(1)%s.listEvery() != 0 {
+		return
+	}
 	if err := s.tracker.Poll(ctx); err != nil {
 		log.Warn("platform not read", "step", "poll_instances", "error", err)
 		return
@@ -143,13 +160,29 @@
 	s.updatePeers()
 }
 
+// listPollers is the number of entry instances of a zone that together read the
+// instance list once in each poll interval. The list is large, and an agent's
+// own word and its silence tell sooner.
+const listPollers = 4
+
+// listEvery is the number of polls for each of which this instance reads the
+// instance list once.
+func (s *Server) listEvery() uint64 {
+	zone := uint64(1)
+	for _, in := range s.tracker.GetPeers() {
+		if in.Zone == s.cfg.Zone {
+			zone++
+		}
+	}
+	return max(zone/listPollers, 1)
+}
+
 func (s *Server) updatePeers() {
 	peers := s.tracker.GetPeers()
-	names := make([]string, 0, len(peers))
-	for _, in := range peers {
-		names = append(names, in.Name)
-	}
-	s.limiter.SetPeers(names)
+	s.limiter.SetPeers(len(peers))
+	entries := append(peers, s.self())
+	s.aggregator.SetListed(entries)
+	s.plan.Store(aggregator.NewPlan(entries))
 }
 
 func (s *Server) setConfigured(source string) {
@@ -215,6 +248,7 @@
 	case <-ctx.Done():
 		return false
 	}
+	s.saveHistory(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return asserter.Holds(s.inFlight == 0, asserter.RuleDrained, "%d requests in flight", s.inFlight) == nil
@@ -288,7 +322,7 @@
 	for _, e := range changed {
 		log.Info("configuration in force", "kind", e.GetKind(), "name", e.GetName(), "number", e.GetNumber())
 	}
-	for _, in := range s.tracker.GetPeers() {
+	for _, in := range pickPeers(s.tracker.GetPeers(), spreadFanout) {
 		go func() { _ = s.spreader.Push(s.background, in.Address, changed) }()
 	}
 	for _, target := range s.tracker.GetTargets() {
@@ -301,6 +335,17 @@
 	}
 }
 
+// spreadFanout is the number of peers to which an instance passes news. Each
+// passes it on in turn, so all have it after a few rounds; the comparison of
+// digests finds those that were missed.
+const spreadFanout = 10
+
+// pickPeers returns up to n peers in random order.
+func pickPeers(peers []storer.Instance, n int) []storer.Instance {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
+
 func filterForAgent(changed []*encoder.Entity, status *encoder.AgentStatus) []*encoder.Entity {
 	return slices.DeleteFunc(slices.Clone(changed), func(e *encoder.Entity) bool {
 		switch registrar.Kind(e.GetKind()) {
--- a/internal/execution/guard/execution.go
+++ b/internal/execution/guard/execution.go
@@ -62,6 +62,9 @@
 	Agent       string `json:"agent,omitempty"`
 	Incarnation uint64 `json:"incarnation,omitempty"`
 	Attempt     string `json:"attempt,omitempty"`
+	// Until is when the run ends at the latest; an owner that has not answered by
+	// then is gone.
+	Until time.Time `json:"until,omitzero"`
 	// Answer is set exactly when State is StateAnswered.
 	Answer    *Answer   `json:"answer,omitempty"`
 	SettledBy string    `json:"settled_by,omitempty"`
--- a/internal/execution/guard/guard.go
+++ b/internal/execution/guard/guard.go
@@ -97,6 +97,7 @@
 	row := storer.Row{}
 	for try := range insertTries {
 		exec := g.newExecution(r)
+		exec.Until, _ = ctx.Deadline()
 		txn, err := exec.newWrite(r.ID, row.Version)
 		if err != nil {
 			return nil, err
@@ -158,6 +159,10 @@
 // agent holds.
 const followInterval = 50 * time.Millisecond
 
+// ownerGrace is how long after its end a run's owner may take to tell the
+// outcome; it covers differences between clocks.
+const ownerGrace = 3 * time.Second
+
 // follow reads the row until it is no longer running or ctx ends.
 func (g *Guard) follow(ctx context.Context, r Request, exec *Execution) (Decision, error) {
 	wait := backoff.NewExponentialBackOff()
@@ -177,6 +182,9 @@
 		case StateClosed:
 			return &Denial{Reason: ReasonClosed, Generation: exec.Generation}, nil
 		case StateRunning:
+			if !exec.Until.IsZero() && time.Since(exec.Until) > ownerGrace {
+				return &Denial{Reason: ReasonLost}, nil
+			}
 		}
 		r.waits()
 		select {
--- a/internal/expert/coordinator/coordinator.go
+++ b/internal/expert/coordinator/coordinator.go
@@ -134,12 +134,17 @@
 
 // round brings the members to one state, and plans when it is time.
 func (c *Coordinator) round(ctx context.Context) error {
-	replies, err := c.askAll(ctx)
+	replies, err := c.askAll(ctx, false)
 	if err != nil {
 		return err
 	}
-	if err := c.settle(ctx, replies); err != nil {
-		return err
+	if needsMaps(replies) {
+		if replies, err = c.askAll(ctx, true); err != nil {
+			return err
+		}
+		if err := c.settle(ctx, replies); err != nil {
+			return err
+		}
 	}
 	if time.Now().Before(c.nextPlan) {
 		return nil
@@ -149,12 +154,23 @@
 }
 
 // askAll takes every member's promise for this epoch and learns its state.
-func (c *Coordinator) askAll(ctx context.Context) ([]*encoder.GroupReply, error) {
+// Maps are large, so they are asked for only when there is something to settle.
+func (c *Coordinator) askAll(ctx context.Context, withMaps bool) ([]*encoder.GroupReply, error) {
 	return c.callAll(ctx, func(string) *encoder.GroupOrder {
-		return &encoder.GroupOrder{Kind: encoder.OrderKind_ORDER_ASK, WithMaps: true}
+		return &encoder.GroupOrder{Kind: encoder.OrderKind_ORDER_ASK, WithMaps: withMaps}
 	})
 }
 
+// needsMaps reports whether a member lacks memory or a decision.
+func needsMaps(replies []*encoder.GroupReply) bool {
+	for _, r := range replies {
+		if !r.GetJoined() || r.GetPreparedVersion() != 0 && !r.GetCommitted() {
+			return true
+		}
+	}
+	return false
+}
+
 // callAll sends an order to every member at once. It fails unless every member
 // has answered under this epoch; accepted or not is for the caller to look at.
 func (c *Coordinator) callAll(ctx context.Context, order func(member string) *encoder.GroupOrder) ([]*encoder.GroupReply, error) {
--- a/internal/expert/coordinator/rebalance.go
+++ b/internal/expert/coordinator/rebalance.go
@@ -20,14 +20,15 @@
 
 // rebalance plans from the members' counts and changes the map if that pays.
 func (c *Coordinator) rebalance(ctx context.Context) error {
-	replies, err := c.callAll(ctx, func(string) *encoder.GroupOrder {
-		return &encoder.GroupOrder{Kind: encoder.OrderKind_ORDER_ASK, WithCounts: true, WithMaps: true}
+	replies, err := c.callAll(ctx, func(member string) *encoder.GroupOrder {
+		// The first member is this process: its map costs no message.
+		return &encoder.GroupOrder{Kind: encoder.OrderKind_ORDER_ASK, WithCounts: true, WithMaps: member == c.group.Members[0]}
 	})
 	if err != nil {
 		return err
 	}
-	present := newView(replies).inForce
-	if present == nil {
+	present := replies[0].GetMap()
+	if present == nil || replies[0].GetPreparedVersion() != 0 {
 		return nil
 	}
 	skew := c.observe(replies)
@@ -39,6 +40,11 @@
 		c.addHistory(ch)
 		return nil
 	}
+	if isFieldLate(replies) {
+		ch.Outcome = "postponed: field work is late"
+		c.addHistory(ch)
+		return nil
+	}
 	next := &planner.Map{Version: c.newVersion(), Layers: d.Layers}
 	ch.Version = next.Version
 	ch.Bytes = int64(d.Moved) * c.group.ExpertBytes
@@ -138,10 +144,17 @@
 func (c *Coordinator) stage(ctx context.Context, wire *encoder.ExpertMap) ([]*encoder.GroupReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
+	told := make(map[string]bool, len(c.group.Members))
 	for {
-		replies, err := c.callAll(ctx, func(string) *encoder.GroupOrder {
+		replies, err := c.callAll(ctx, func(member string) *encoder.GroupOrder {
+			if told[member] {
+				return &encoder.GroupOrder{Kind: encoder.OrderKind_ORDER_ASK}
+			}
 			return &encoder.GroupOrder{Kind: encoder.OrderKind_ORDER_STAGE, Version: wire.GetVersion(), Map: wire}
 		})
+		for _, r := range replies {
+			told[r.GetInstance()] = r.GetStagingVersion() == wire.GetVersion()
+		}
 		if errors.Is(err, ErrSuperseded) {
 			return nil, err
 		}
@@ -154,6 +167,16 @@
 	}
 }
 
+// isFieldLate reports whether copies would slow work that waits already.
+func isFieldLate(replies []*encoder.GroupReply) bool {
+	for _, r := range replies {
+		if r.GetFieldLate() {
+			return true
+		}
+	}
+	return false
+}
+
 func allStaged(replies []*encoder.GroupReply, version uint64) bool {
 	for _, r := range replies {
 		if r.GetStagedVersion() != version || !r.GetJoined() {
--- a/internal/expert/follower/follower.go
+++ b/internal/expert/follower/follower.go
@@ -82,6 +82,8 @@
 	// an older one is refused.
 	closed uint64
 	staged staged
+	// isLate, if set, reports whether field work waits at this member.
+	isLate func() bool
 	// step is the latest one begun; it never falls.
 	step    uint64
 	begun   time.Time
@@ -89,12 +91,21 @@
 	Meter
 }
 
+// Option configures a Follower.
+type Option func(*Follower)
+
+// WithLate sets what reports whether field work waits at this member.
+func WithLate(f func() bool) Option { return func(fo *Follower) { fo.isLate = f } }
+
 // New returns a Follower that has not joined. ctx bounds staging.
-func New(ctx context.Context, group, instance string, incarnation uint64, engine Engine) *Follower {
+func New(ctx context.Context, group, instance string, incarnation uint64, engine Engine, opts ...Option) *Follower {
 	f := &Follower{
 		group: group, instance: instance, incarnation: incarnation, engine: engine, background: ctx,
 		changed: make(chan struct{}), begun: time.Now(),
 	}
+	for _, opt := range opts {
+		opt(f)
+	}
 	go f.recall()
 	return f
 }
@@ -349,6 +360,7 @@
 	if p := f.prepared; p != nil {
 		r.PreparedVersion, r.FenceStep, r.Committed = p.m.Version, p.fence, p.committed
 	}
+	r.StagingVersion = f.staged.m.GetVersion()
 	if f.staged.done {
 		r.StagedVersion = f.staged.m.Version
 	}
@@ -358,6 +370,9 @@
 			r.PreparedMap = EncodeMap(f.prepared.m)
 		}
 	}
+	if f.isLate != nil {
+		r.FieldLate = f.isLate()
+	}
 	if o.GetWithCounts() {
 		f.report(r)
 	}
--- a/internal/process/launcher/process_test.go
+++ b/internal/process/launcher/process_test.go
@@ -277,6 +277,78 @@
 	})
 }
 
+// remote is a backend server process as the checker sees it.
+type remote struct {
+	*fleet
+	addr netip.AddrPort
+}
+
+func (r remote) GetRuns() (runs []responder.Run) {
+	r.Assert(r.get("http://"+r.addr.String()+"/runs", &runs), qt.IsNil)
+	return runs
+}
+
+func (r remote) GetAttempts() (attempts map[string]int) {
+	r.Assert(r.get("http://"+r.addr.String()+"/attempts", &attempts), qt.IsNil)
+	return attempts
+}
+
+// kill ends a process at once and starts it again.
+func (f *fleet) kill(name, role string) {
+	f.Assert(f.procs[name].Process.Kill(), qt.IsNil)
+	_, _ = f.procs[name].Process.Wait()
+	f.run(name, "siskinfall", role, "--settings", filepath.Join(f.dir, name+".yaml"))
+}
+
+// sendUntil sends streams and orders through both entries until stop closes.
+func (f *fleet) sendUntil(stop <-chan struct{}, check *checker.Checker, id int) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		call := checker.Call{Kind: checker.KindStream, Service: "assistant-llm", Payload: fmt.Sprint(id, " ", n), Tokens: 3}
+		if n%2 == 0 {
+			call = checker.Call{Kind: checker.KindOrder, Service: "/desk/", Payload: fmt.Sprint(id, " ", n), Key: fmt.Sprint("k", id, "-", n)}
+		}
+		check.Add(f.client.Do(context.Background(), f.settings[fmt.Sprint("entry-", 1+(id+n)%2)].Listen.Callers, call))
+	}
+}
+
+// TestKilledProcesses kills both entries of the zone, then every agent in turn,
+// under load: callers get answers, truthful refusals or broken connections.
+func TestKilledProcesses(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(c)
+	check := &checker.Checker{}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for id := range 16 {
+		wg.Go(func() { f.sendUntil(stop, check, id) })
+	}
+	for _, name := range []string{"entry-1", "entry-2"} {
+		f.kill(name, tracker.RoleEntry)
+	}
+	f.waitRouted("entry-1", 3)
+	f.waitRouted("entry-2", 3)
+	for _, name := range []string{"agent-1", "agent-2", "agent-3"} {
+		f.kill(name, tracker.RoleAgent)
+		f.waitRouted("entry-1", 3)
+		f.waitRouted("entry-2", 3)
+	}
+	close(stop)
+	wg.Wait()
+	backends := make([]checker.Backend, 0, len(f.backends))
+	for _, addr := range f.backends {
+		backends = append(backends, remote{fleet: f, addr: addr})
+	}
+	summary := check.GetSummary()
+	t.Logf("%+v", summary)
+	c.Assert(check.Check(backends), qt.HasLen, 0)
+	c.Assert(summary.Answered > 0, qt.IsTrue)
+}
+
 var processTicket = fmt.Sprintf(`number: 1
 author: test
 client_accounts:
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -65,14 +65,16 @@
 
 // Agent configures an agent.
 type Agent struct {
-	Service       string         `yaml:"service" comment:"service that the backend server offers"`
-	Group         string         `yaml:"group" comment:"expert-parallel model group of the backend server; empty for plain services"`
-	Backend       netip.AddrPort `yaml:"backend" comment:"address of the backend server"`
-	DrainTimeout  time.Duration  `yaml:"drain_timeout" validate:"min=1s,max=1h" comment:"longest wait for requests in flight at shutdown"`
-	Concurrency   int            `yaml:"concurrency" validate:"min=1,max=4096" comment:"requests run at once"`
-	QueueRequests int            `yaml:"queue_requests" validate:"min=0,max=65536" comment:"requests queued at most"`
-	QueueBytes    int            `yaml:"queue_bytes" validate:"min=0" comment:"request bytes queued at most"`
-	HealthPeriod  time.Duration  `yaml:"health_interval" validate:"min=50ms,max=1m" comment:"how often the backend server is checked"`
+	Service      string         `yaml:"service" comment:"service that the backend server offers"`
+	Group        string         `yaml:"group" comment:"expert-parallel model group of the backend server; empty for plain services"`
+	Backend      netip.AddrPort `yaml:"backend" comment:"address of the backend server"`
+	DrainTimeout time.Duration  `yaml:"drain_timeout" validate:"min=1s,max=1h" comment:"longest wait for requests in flight at shutdown"`
+	Concurrency  int            `yaml:"concurrency" validate:"min=1,max=4096" comment:"requests run at once"`
+	// MinConcurrency never exceeds Concurrency.
+	MinConcurrency int           `yaml:"min_concurrency" validate:"min=1,ltefield=Concurrency" comment:"least requests run at once while the backend server is slow"`
+	QueueRequests  int           `yaml:"queue_requests" validate:"min=0,max=65536" comment:"requests queued at most"`
+	QueueBytes     int           `yaml:"queue_bytes" validate:"min=0" comment:"request bytes queued at most"`
+	HealthPeriod   time.Duration `yaml:"health_interval" validate:"min=50ms,max=1m" comment:"how often the backend server is checked"`
 }
 
 // NewSettings returns the defaults.
@@ -103,12 +105,13 @@
 			ExplainRecent: 2000,
 		},
 		Agent: Agent{
-			Backend:       netip.AddrPortFrom(loopback, 9100),
-			DrainTimeout:  time.Minute,
-			Concurrency:   32,
-			QueueRequests: 256,
-			QueueBytes:    16 << 20,
-			HealthPeriod:  500 * time.Millisecond,
+			Backend:        netip.AddrPortFrom(loopback, 9100),
+			DrainTimeout:   time.Minute,
+			Concurrency:    32,
+			MinConcurrency: 4,
+			QueueRequests:  256,
+			QueueBytes:     16 << 20,
+			HealthPeriod:   500 * time.Millisecond,
 		},
 	}
 }
--- a/internal/standin/checker/checker.go
+++ b/internal/standin/checker/checker.go
@@ -52,8 +52,14 @@
 	return s
 }
 
+// Backend tells what a backend server has run.
+type Backend interface {
+	GetRuns() []responder.Run
+	GetAttempts() map[string]int
+}
+
 // Check returns every promise that was broken.
-func (c *Checker) Check(backends []*responder.Responder) []string {
+func (c *Checker) Check(backends []Backend) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ran, runs := collect(backends)
@@ -88,7 +94,7 @@
 
 // collect returns how often each request reached a backend server, and the
 // attempts that ran each order.
-func collect(backends []*responder.Responder) (ran map[string]int, runs map[string][]string) {
+func collect(backends []Backend) (ran map[string]int, runs map[string][]string) {
 	ran, runs = make(map[string]int), make(map[string][]string)
 	for _, b := range backends {
 		for attempt, n := range b.GetAttempts() {
--- a/internal/standin/checker/randomised_test.go
+++ b/internal/standin/checker/randomised_test.go
@@ -101,6 +101,8 @@
 	restarts sync.Mutex
 	mu       sync.Mutex
 	backends []*responder.Responder
+	// checked are the same, as the checker takes them.
+	checked []Backend
 }
 
 func newWorld(c *qt.C) *world {
@@ -133,6 +135,7 @@
 	p, err := w.AddAgent(name, "zone-"+zone, service, "", slow)
 	c.Assert(err, qt.IsNil)
 	w.backends = append(w.backends, p.Backend.Responder)
+	w.checked = append(w.checked, p.Backend)
 }
 
 var ticket = fmt.Sprintf(`number: 1
@@ -293,7 +296,7 @@
 	faults.Wait()
 	summary := w.checker.GetSummary()
 	t.Logf("%+v", summary)
-	c.Assert(w.checker.Check(w.backends), qt.HasLen, 0)
+	c.Assert(w.checker.Check(w.checked), qt.HasLen, 0)
 	c.Assert(asserter.Violations(), qt.Equals, before)
 	c.Assert(summary.Requests >= requests*9/10, qt.IsTrue)
 	c.Assert(summary.Answered > summary.Requests/2, qt.IsTrue)
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -139,6 +139,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", s.health)
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, Load{Running: s.GetRunning()}) })
+	mux.HandleFunc("GET /attempts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.GetAttempts()) })
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.GetRuns()) })
 	mux.HandleFunc("PUT /faults", s.putFaults)
 	mux.HandleFunc("POST /v1/chat/completions", s.complete)
--- a/internal/standin/starter/fleet_test.go
+++ b/internal/standin/starter/fleet_test.go
@@ -105,11 +105,11 @@
 	close(stop)
 	wg.Wait()
 	crashes := 0
-	backends := make([]*responder.Responder, 0, len(f.Processes))
+	backends := make([]checker.Backend, 0, len(f.Processes))
 	for _, p := range f.Processes {
 		if p.Backend != nil {
 			crashes += p.Backend.GetCrashes()
-			backends = append(backends, p.Backend.Responder)
+			backends = append(backends, p.Backend)
 		}
 	}
 	c.Assert(crashes <= 2, qt.IsTrue, qt.Commentf("%d crashes", crashes))
--- a/internal/wire/connector/stream.go
+++ b/internal/wire/connector/stream.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 
 	"siskinfall/internal/fault/wrapper"
@@ -36,6 +37,11 @@
 
 var sent, received atomic.Uint64
 
+var (
+	_ = metrics.NewGauge(`siskinfall_session_bytes_total{direction="sent"}`, func() float64 { return float64(sent.Load()) })
+	_ = metrics.NewGauge(`siskinfall_session_bytes_total{direction="received"}`, func() float64 { return float64(received.Load()) })
+)
+
 // GetStats returns the bytes that all sessions of the process have moved.
 func GetStats() Stats {
 	return Stats{Sent: sent.Load(), Received: received.Load()}
