--- a/internal/agent/leader/leader.go
+++ b/internal/agent/leader/leader.go
@@ -18,6 +18,7 @@
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
@@ -58,18 +59,18 @@
 	for ctx.Err() == nil {
 		group := l.book.Get().Groups[l.group]
 		if group == nil || len(group.Members) == 0 || group.Members[0] != l.instance {
-			pause(ctx, checkInterval)
+			sleeper.Sleep(ctx, checkInterval)
 			continue
 		}
 		err := l.lead(ctx, group)
 		if errors.Is(err, coordinator.ErrSuperseded) {
-			pause(ctx, retreat+rand.N(retreat))
+			sleeper.Sleep(ctx, retreat+rand.N(retreat))
 			continue
 		}
 		if err != nil {
 			log.Warn("group not led", "step", "lead_group", "group", l.group, "error", err)
 		}
-		pause(ctx, checkInterval)
+		sleeper.Sleep(ctx, checkInterval)
 	}
 }
 
@@ -91,7 +92,7 @@
 
 func (l *Leader) cancelOnChange(ctx context.Context, cancel context.CancelFunc, group *registrar.Group) {
 	for ctx.Err() == nil && l.book.Get().Groups[l.group] == group {
-		pause(ctx, checkInterval)
+		sleeper.Sleep(ctx, checkInterval)
 	}
 	cancel()
 }
@@ -163,12 +164,3 @@
 	}
 	l.listed = time.Now()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -39,6 +39,8 @@
 	case *encoder.RunEvent_End, *encoder.RunEvent_Refusal:
 		load := a.queue.GetLoad()
 		ev.Load = &encoder.Load{Running: uint32(load.Running), Queued: uint32(load.Waiting)}
+		ev.QueuedMicros = a.queued.Microseconds()
+		ev.RowState = a.row
 	}
 	if err := a.st.Send(ev); err != nil {
 		log.Debug("event not sent", "error", err)
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -28,6 +28,10 @@
 	// offset and sum cover the bytes of the answer sent so far.
 	offset uint64
 	sum    *xxhash.Digest
+	// queued is the time spent waiting for a slot.
+	queued time.Duration
+	// row tells what became of the row of work that must not run twice.
+	row string
 	// release gives the queue's slot back; it may be called twice.
 	release func()
 }
@@ -35,11 +39,11 @@
 // run serves one attempt.
 func (s *Server) run(ctx context.Context, req *encoder.RunRequest, st *connector.Stream) {
 	a := &attempt{Server: s, req: req, st: st, sum: xxhash.New(), offset: uint64(len(req.GetResumePrefix()))}
-	if !s.accept() {
+	if !s.Accept() {
 		a.refuse(encoder.CodeLeaving, "accept", encoder.Execution_EXECUTION_NOT_RUN, "")
 		return
 	}
-	defer s.finish()
+	defer s.Finish()
 	if !a.checkConfig() {
 		return
 	}
@@ -88,10 +92,12 @@
 }
 
 func (a *attempt) serve(ctx context.Context) {
+	start := time.Now()
 	release, err := a.queue.Acquire(ctx, queuer.Work{
 		Class: int(a.req.GetPriority()), Account: a.req.GetClientAccount(), Weight: int(a.req.GetWeight()),
 		Bytes: len(a.req.GetBody()), Deadline: a.deadline(),
 	})
+	a.queued = time.Since(start)
 	if err != nil {
 		a.refuse(queueCode(err), "queue", encoder.Execution_EXECUTION_NOT_RUN, err.Error())
 		return
@@ -230,8 +236,10 @@
 	}
 	switch d := decision.(type) {
 	case *guard.Permit:
+		a.row = "inserted"
 		a.runPermit(ctx, d)
 	case *guard.Replay:
+		a.row = "answered before"
 		a.sendWhole(d.Answer, true)
 	case *guard.Denial:
 		a.deny(d)
@@ -249,6 +257,7 @@
 }
 
 func (a *attempt) deny(d *guard.Denial) {
+	a.row = string(d.Reason)
 	execution := encoder.Execution_EXECUTION_NOT_RUN
 	if d.Reason == guard.ReasonLost {
 		execution = encoder.Execution_EXECUTION_UNKNOWN
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -20,6 +20,7 @@
 	"siskinfall/internal/execution/guard"
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/drainer"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/suspect/isolator"
 	"siskinfall/internal/wire/connector"
@@ -55,14 +56,10 @@
 	spreader    *spreader.Spreader
 	group       GroupHandler
 
+	drainer.Gate
 	mu sync.Mutex
-	// leavingSince is zero until shutdown begins.
-	leavingSince time.Time
-	// inFlight counts accepted runs; none is accepted once leaving.
-	inFlight int
 	// changed is closed and replaced when watchers must be told at once.
 	changed chan struct{}
-	drained chan struct{}
 	healthy atomic.Bool
 	seq     atomic.Uint64
 }
@@ -79,7 +76,6 @@
 		book:        book,
 		spreader:    spreader.New(book, nil, cfg.Instance),
 		changed:     make(chan struct{}),
-		drained:     make(chan struct{}),
 	}
 	if group := cfg.Agent.Group; group != "" {
 		f := follower.New(ctx, group, cfg.Instance, incarnation, driver.NewGroupDriver(cfg.Agent.Backend), follower.WithLate(s.queue.IsLate))
@@ -172,31 +168,9 @@
 	return st.Send(s.group.Handle(order))
 }
 
-// accept counts a run, unless the agent is leaving.
-func (s *Server) accept() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.leavingSince.IsZero() {
-		return false
-	}
-	s.inFlight++
-	return true
-}
-
-func (s *Server) finish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight--
-	if s.inFlight == 0 && !s.leavingSince.IsZero() {
-		close(s.drained)
-	}
-}
-
 // checkLeaving asserts that a leaving backend server gets no new work.
 func (s *Server) checkLeaving() error {
-	s.mu.Lock()
-	since := s.leavingSince
-	s.mu.Unlock()
+	since := s.GetSince()
 	ok := since.IsZero() || time.Since(since) < leavingGrace
 	return asserter.Holds(ok, asserter.RuleNoNewWork, "hand-over %v after leaving began", time.Since(since))
 }
@@ -212,28 +186,17 @@
 // Drain refuses new work, tells every entry instance, and waits for the work in
 // flight. It reports whether all of it has ended.
 func (s *Server) Drain(ctx context.Context) bool {
-	s.mu.Lock()
-	s.leavingSince = time.Now()
-	if s.inFlight == 0 {
-		close(s.drained)
-	}
-	s.mu.Unlock()
+	s.BeginDrain(time.Now())
 	s.queue.Close()
 	s.notify()
-	select {
-	case <-s.drained:
-	case <-ctx.Done():
+	if !s.WaitDrained(ctx) {
 		return false
 	}
 	s.guard.Wait()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return asserter.Holds(s.inFlight == 0, asserter.RuleDrained, "%d runs in flight", s.inFlight) == nil
+	return true
 }
 
 // IsReady reports whether the agent takes work.
 func (s *Server) IsReady() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.leavingSince.IsZero() && s.healthy.Load()
+	return !s.IsDraining() && s.healthy.Load()
 }
--- a/internal/agent/server/status.go
+++ b/internal/agent/server/status.go
@@ -41,16 +41,13 @@
 func (s *Server) GetStatus() *encoder.AgentStatus {
 	load := s.queue.GetLoad()
 	crashes, suspects := s.watch.GetCrashes()
-	s.mu.Lock()
-	leaving := !s.leavingSince.IsZero()
-	s.mu.Unlock()
 	return &encoder.AgentStatus{
 		Instance:          s.cfg.Instance,
 		Incarnation:       s.incarnation,
 		Zone:              s.cfg.Zone,
 		Service:           s.cfg.Agent.Service,
 		Group:             s.cfg.Agent.Group,
-		Leaving:           leaving,
+		Leaving:           s.IsDraining(),
 		Ready:             s.healthy.Load(),
 		Running:           uint32(load.Running),
 		Queued:            uint32(load.Waiting),
--- a/internal/config/registrar/book.go
+++ b/internal/config/registrar/book.go
@@ -50,7 +50,7 @@
 // NewBook returns an empty Book.
 func NewBook() *Book {
 	b := &Book{}
-	b.snap.Store(newSnapshot(map[Ref]*encoder.Entity{}))
+	b.snap.Store(newSnapshot())
 	return b
 }
 
@@ -69,18 +69,18 @@
 func (b *Book) Apply(entities []*encoder.Entity) []*encoder.Entity {
 	b.mu.Lock()
 	old := b.snap.Load()
-	next := maps.Clone(old.Entities)
+	newer := old.selectNewer(entities)
+	if len(newer) == 0 {
+		b.mu.Unlock()
+		return nil
+	}
+	snap := old.clone()
 	var changed []*encoder.Entity
-	for _, e := range entities {
-		if takeIn(next, e) {
+	for _, e := range newer {
+		if snap.set(e) {
 			changed = append(changed, e)
 		}
 	}
-	if len(changed) == 0 {
-		b.mu.Unlock()
-		return nil
-	}
-	snap := newSnapshot(next)
 	if err := checkMonotone(old, snap); err != nil {
 		b.mu.Unlock()
 		return nil
@@ -94,20 +94,67 @@
 	return changed
 }
 
-// takeIn puts e into next if its number is the highest and it can be decoded.
-func takeIn(next map[Ref]*encoder.Entity, e *encoder.Entity) bool {
-	ref := Ref{Kind: Kind(e.GetKind()), Name: e.GetName()}
-	if cur := next[ref]; cur != nil && cur.GetNumber() >= e.GetNumber() {
+// selectNewer returns the states whose numbers are above those in force.
+func (s *Snapshot) selectNewer(entities []*encoder.Entity) []*encoder.Entity {
+	var newer []*encoder.Entity
+	for _, e := range entities {
+		if e.GetNumber() > s.GetNumber(refOf(e)) {
+			newer = append(newer, e)
+		}
+	}
+	return newer
+}
+
+func refOf(e *encoder.Entity) Ref { return Ref{Kind: Kind(e.GetKind()), Name: e.GetName()} }
+
+// clone returns a copy whose maps may be changed.
+func (s *Snapshot) clone() *Snapshot {
+	next := *s
+	next.Accounts, next.Services, next.Groups = maps.Clone(s.Accounts), maps.Clone(s.Services), maps.Clone(s.Groups)
+	next.Entities, next.byKey = maps.Clone(s.Entities), maps.Clone(s.byKey)
+	return &next
+}
+
+// set puts a state into a clone, if its number is the highest and it can be
+// decoded.
+func (s *Snapshot) set(e *encoder.Entity) bool {
+	ref := refOf(e)
+	cur := s.Entities[ref]
+	if cur.GetNumber() >= e.GetNumber() {
 		return false
 	}
-	if _, err := decodeEntity(e); err != nil {
+	a, err := decodeEntity(e)
+	if err != nil {
 		log.Error("state refused", "step", "decode_entity", "entity", ref, "error", err)
 		return false
 	}
-	next[ref] = e
+	if cur != nil {
+		s.Digest -= entityDigest(ref, cur.GetNumber())
+	}
+	s.remove(ref)
+	s.add(a)
+	s.Entities[ref] = e
+	s.Digest += entityDigest(ref, e.GetNumber())
 	return true
 }
 
+// remove takes out the aggregate of a thing.
+func (s *Snapshot) remove(ref Ref) {
+	switch ref.Kind {
+	case KindClientAccount:
+		if a := s.Accounts[ref.Name]; a != nil {
+			maps.DeleteFunc(s.byKey, func(_ [sha256.Size]byte, other *ClientAccount) bool { return other == a })
+		}
+		delete(s.Accounts, ref.Name)
+	case KindService:
+		delete(s.Services, ref.Name)
+	case KindGroup:
+		delete(s.Groups, ref.Name)
+	case KindRanking:
+		s.Ranking = defaultRanking
+	}
+}
+
 func checkMonotone(old, next *Snapshot) error {
 	for ref, e := range old.Entities {
 		now := next.Entities[ref].GetNumber()
@@ -119,24 +166,15 @@
 	return nil
 }
 
-func newSnapshot(entities map[Ref]*encoder.Entity) *Snapshot {
-	s := &Snapshot{
+func newSnapshot() *Snapshot {
+	return &Snapshot{
 		Accounts: make(map[string]*ClientAccount),
 		Services: make(map[string]*Service),
 		Groups:   make(map[string]*Group),
 		Ranking:  defaultRanking,
-		Entities: entities,
+		Entities: make(map[Ref]*encoder.Entity),
 		byKey:    make(map[[sha256.Size]byte]*ClientAccount),
 	}
-	for ref, e := range entities {
-		s.Digest += entityDigest(ref, e.GetNumber())
-		a, err := decodeEntity(e)
-		if err != nil {
-			continue
-		}
-		s.add(a)
-	}
-	return s
 }
 
 func (s *Snapshot) add(a Aggregate) {
--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -133,48 +133,85 @@
 	}
 }
 
+// reception is the state of one attempt's answer as it arrives.
+type reception struct {
+	*job
+	req    *encoder.RunRequest
+	target *tracker.Target
+	peer   string
+	// offset and sum cover the answer up to what was passed on.
+	offset uint64
+	sum    *xxhash.Digest
+}
+
 // receive passes one attempt's events on until its end.
 func (j *job) receive(st *connector.Stream, req *encoder.RunRequest, target *tracker.Target) (*encoder.Refusal, error) {
-	sum := xxhash.New()
-	offset := uint64(len(req.GetResumePrefix()))
+	r := &reception{job: j, req: req, target: target, peer: st.Peer(), offset: uint64(len(req.GetResumePrefix())), sum: xxhash.New()}
 	for {
 		ev := &encoder.RunEvent{}
 		if err := st.Receive(ev); err != nil {
 			return nil, err
 		}
-		if ev.GetAttemptId() != req.GetAttemptId() {
-			crossed.Inc()
-			_ = asserter.Holds(false, asserter.RuleOwnAnswer, "%s on the stream of %s", ev.GetAttemptId(), req.GetAttemptId())
-			return nil, wrapper.At("receive_answer", st.Peer(), errAttempt)
-		}
-		if load := ev.GetLoad(); load != nil {
-			target.SetLoad(int(load.GetRunning()+load.GetQueued()), time.Now())
+		if err := r.checkOwn(ev); err != nil {
+			return nil, err
 		}
-		switch k := ev.GetKind().(type) {
-		case *encoder.RunEvent_Head:
-			if err := j.passHead(k.Head); err != nil {
-				return nil, err
-			}
-		case *encoder.RunEvent_Chunk:
-			if k.Chunk.GetOffset() != offset {
-				return nil, wrapper.At("receive_answer", st.Peer(), errOffset)
-			}
-			offset += uint64(len(k.Chunk.GetData()))
-			_, _ = sum.Write(k.Chunk.GetData())
-			if err := j.passData(k.Chunk.GetData()); err != nil {
-				return nil, err
-			}
-		case *encoder.RunEvent_End:
-			whole := k.End.GetLength() == offset && k.End.GetChecksum() == sum.Sum64()
-			return nil, asserter.Holds(whole, asserter.RuleWholeAnswer, "attempt %s: %d of %d bytes", req.GetAttemptId(), offset, k.End.GetLength())
-		case *encoder.RunEvent_Refusal:
-			return k.Refusal, nil
-		default:
-			return nil, wrapper.At("receive_answer", st.Peer(), errKind)
+		r.note(ev)
+		refusal, done, err := r.take(ev)
+		if done || err != nil {
+			return refusal, err
 		}
 	}
 }
 
+// checkOwn asserts that an event belongs to this attempt.
+func (r *reception) checkOwn(ev *encoder.RunEvent) error {
+	own := r.req.GetAttemptId()
+	if ev.GetAttemptId() == own {
+		return nil
+	}
+	crossed.Inc()
+	err := asserter.Holds(false, asserter.RuleOwnAnswer, "%s on the stream of %s", ev.GetAttemptId(), own)
+	return wrapper.At("receive_answer", r.peer, errors.Join(errAttempt, err))
+}
+
+// note takes in what the last event of an attempt tells of the agent.
+func (r *reception) note(ev *encoder.RunEvent) {
+	if load := ev.GetLoad(); load != nil {
+		r.target.SetLoad(int(load.GetRunning()+load.GetQueued()), time.Now())
+		r.Trace.Add("queue", "%s: waited %d µs, %d running, %d queued", r.target.Name, ev.GetQueuedMicros(), load.GetRunning(), load.GetQueued())
+	}
+	if ev.GetRowState() != "" {
+		r.Trace.Add("row", "generation %d: %s", r.req.GetGeneration(), ev.GetRowState())
+	}
+}
+
+// take passes an event on, and reports whether it was the attempt's last.
+func (r *reception) take(ev *encoder.RunEvent) (refusal *encoder.Refusal, done bool, err error) {
+	switch k := ev.GetKind().(type) {
+	case *encoder.RunEvent_Head:
+		return nil, false, r.passHead(k.Head)
+	case *encoder.RunEvent_Chunk:
+		return nil, false, r.takeChunk(k.Chunk)
+	case *encoder.RunEvent_End:
+		whole := k.End.GetLength() == r.offset && k.End.GetChecksum() == r.sum.Sum64()
+		err := asserter.Holds(whole, asserter.RuleWholeAnswer, "attempt %s: %d of %d bytes", r.req.GetAttemptId(), r.offset, k.End.GetLength())
+		return nil, true, err
+	case *encoder.RunEvent_Refusal:
+		return k.Refusal, true, nil
+	}
+	return nil, false, wrapper.At("receive_answer", r.peer, errKind)
+}
+
+// takeChunk passes data on that follows what came before.
+func (r *reception) takeChunk(c *encoder.Chunk) error {
+	if c.GetOffset() != r.offset {
+		return wrapper.At("receive_answer", r.peer, errOffset)
+	}
+	r.offset += uint64(len(c.GetData()))
+	_, _ = r.sum.Write(c.GetData())
+	return r.passData(c.GetData())
+}
+
 // passHead sends the head to the caller once; a resumed answer must agree.
 func (j *job) passHead(h *encoder.Head) error {
 	if j.head {
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -20,7 +20,10 @@
 
 // Request is a caller's request after it was checked and admitted.
 type Request struct {
-	ID      string
+	// ID is unique among all requests.
+	ID string
+	// ShownID is what the caller knows the request by.
+	ShownID string
 	Account *registrar.ClientAccount
 	Service *registrar.Service
 	// Number is the service's configuration number.
@@ -210,10 +213,40 @@
 	if b == nil {
 		return nil
 	}
-	j.Trace.Add("pick", "%s of %d, score %.4f s", b.Name, len(set.Backends), j.picker.Score(b, demand))
+	j.Trace.Add("pick", "%s with %.4f s; others: %v", b.Name, j.picker.Score(b, demand), j.scoreOthers(set, b, demand))
 	return set.GetTarget(b)
 }
 
+// maxScored bounds the backend servers whose scores a trace shows.
+const maxScored = 16
+
+// scored is a backend server with its score at the time of a choice.
+type scored struct {
+	name  string
+	score float64
+	// out says that it could not be chosen.
+	out bool
+}
+
+// String is the form in a trace.
+func (s scored) String() string {
+	if s.out {
+		return s.name + " not available"
+	}
+	return fmt.Sprintf("%s %.4f s", s.name, s.score)
+}
+
+// scoreOthers lists the first backend servers that were not chosen.
+func (j *job) scoreOthers(set *tracker.ServiceSet, chosen *picker.Backend, demand picker.Demand) []scored {
+	list := make([]scored, 0, min(len(set.Backends), maxScored))
+	for _, b := range set.Backends {
+		if b != chosen && len(list) < maxScored {
+			list = append(list, scored{name: b.Name, score: j.picker.Score(b, demand), out: !b.IsAvailable()})
+		}
+	}
+	return list
+}
+
 // longestWait is how long a request waits while no backend server is available.
 const longestWait = time.Second
 
--- a/internal/entry/server/callers.go
+++ b/internal/entry/server/callers.go
@@ -88,14 +88,24 @@
 	return fmt.Sprintf("%s-%x-%d", s.cfg.Instance, s.incarnation, requestSeq.Add(1))
 }
 
+// shownID is the caller's own request id where it sends one, else ours. Attempts
+// always carry ours, since a caller may use an id twice.
+func shownID(r *http.Request, own string) string {
+	id := r.Header.Get(headerRequestID)
+	if id == "" || len(id) > maxKeyLength || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) {
+		return own
+	}
+	return id
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, find finder) {
-	id := s.newRequestID()
+	id := shownID(r, s.newRequestID())
 	w.Header().Set(headerRequestID, id)
-	if !s.accept() {
+	if !s.Accept() {
 		newProblem(http.StatusServiceUnavailable, encoder.CodeDraining, "accept", "this instance is shutting down").write(w, id)
 		return
 	}
-	defer s.finish()
+	defer s.Finish()
 	if !s.configured.Load() {
 		newProblem(http.StatusServiceUnavailable, encoder.CodeNotReady, "accept", "this instance has no configuration yet").write(w, id)
 		return
@@ -127,7 +137,7 @@
 		return nil, newProblem(http.StatusForbidden, encoder.CodeForbidden, "authorize", "the client account may not use this service")
 	}
 	req := &dispatcher.Request{
-		ID: id, Account: account, Service: svc,
+		ID: s.newRequestID(), ShownID: id, Account: account, Service: svc,
 		Number: snap.GetNumber(registrar.Ref{Kind: registrar.KindService, Name: svc.Name}),
 		Method: r.Method, Path: r.URL.RequestURI(), Headers: forwardHeaders(r), Body: body,
 		Idempotent: svc.IsIdempotent(r.Method, r.URL.Path), Prefix: prefix,
@@ -205,11 +215,11 @@
 
 // runRequest admits a request and writes its outcome.
 func (s *Server) runRequest(w http.ResponseWriter, r *http.Request, req *dispatcher.Request) {
-	req.Trace = s.recorder.NewTrace(req.ID, req.Account.Name, req.Service.Name)
+	req.Trace = s.recorder.NewTrace(req.ShownID, req.Account.Name, req.Service.Name)
 	release, wait, err := s.limiter.Acquire(r.Context(), req.Account)
 	if err != nil {
 		req.Trace.Add("limit", "refused: %v", err)
-		newLimitProblem(err, wait).write(w, req.ID)
+		newLimitProblem(err, wait).write(w, req.ShownID)
 		countRequest(req, "limited")
 		return
 	}
@@ -221,14 +231,14 @@
 	if !ok {
 		return
 	}
-	log.Info("request refused", "request_id", req.ID, "client_account", req.Account.Name, "service", req.Service.Name,
+	log.Info("request refused", "request_id", req.ShownID, "attempts_of", req.ID, "client_account", req.Account.Name, "service", req.Service.Name,
 		"code", refused.Code, "step", refused.Step, "execution", dispatcher.ExecutionName(refused.Execution))
 	p := newRefusalProblem(refused)
 	if !refused.Begun {
-		p.write(w, req.ID)
+		p.write(w, req.ShownID)
 		return
 	}
-	sink.abort(p, req.ID)
+	sink.abort(p, req.ShownID)
 }
 
 func newLimitProblem(err error, wait time.Duration) *Problem {
--- a/internal/entry/server/history.go
+++ b/internal/entry/server/history.go
@@ -11,6 +11,7 @@
 
 	"siskinfall/internal/platform/leaser"
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/report/burner"
 )
 
@@ -112,7 +113,7 @@
 		if err == nil {
 			s.sweep(ctx, lease)
 		}
-		pause(ctx, maxSweepPause/2+rand.N(maxSweepPause/2))
+		sleeper.Sleep(ctx, maxSweepPause/2+rand.N(maxSweepPause/2))
 	}
 }
 
@@ -133,18 +134,9 @@
 			break
 		}
 		after = next
-		pause(ctx, sweepInterval)
+		sleeper.Sleep(ctx, sweepInterval)
 	}
 	if deleted > 0 {
 		s.recorder.AddEvent("swept", "%d expired executions", deleted)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -35,9 +36,13 @@
 	}
 }
 
+// idleSession is how long a session to a peer is kept without use.
+const idleSession = 30 * time.Second
+
 // sync exchanges state with peers: the configuration with one that is picked
 // at random, the demand of accounts with those that sum it.
 func (s *Server) sync(ctx context.Context) {
+	s.pool.CloseIdle(idleSession)
 	s.shareDemand(ctx)
 	peers := s.tracker.GetPeers()
 	if len(peers) == 0 {
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -15,12 +15,13 @@
 
 	"siskinfall/internal/admission/aggregator"
 	"siskinfall/internal/admission/limiter"
-	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/config/registrar"
 	"siskinfall/internal/config/spreader"
 	"siskinfall/internal/entry/dispatcher"
 	"siskinfall/internal/execution/guard"
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/drainer"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/report/burner"
 	"siskinfall/internal/report/recorder"
 	"siskinfall/internal/routing/picker"
@@ -58,12 +59,7 @@
 	polls atomic.Uint64
 	// configured says that the configuration came from the platform or a peer.
 	configured atomic.Bool
-	mu         sync.Mutex
-	// draining is set at shutdown; no request is accepted after it.
-	draining bool
-	// inFlight counts accepted requests.
-	inFlight int
-	drained  chan struct{}
+	drainer.Gate
 }
 
 // New returns a Server; ctx bounds its background work.
@@ -78,7 +74,6 @@
 		suspects:   isolator.NewSet(),
 		recorder:   recorder.New(cfg.Instance, cfg.Entry.ExplainRecent),
 		burn:       burner.NewCounter(),
-		drained:    make(chan struct{}),
 	}
 	s.plan.Store(aggregator.NewPlan([]storer.Instance{s.self()}))
 	s.pool = connector.NewPool(s.hello())
@@ -129,17 +124,13 @@
 	s.tracker.Wait()
 }
 
-// every calls f at once and then at each interval until ctx ends.
+// every calls f at once and then at about each interval until ctx ends. The
+// intervals vary by a tenth, so that instances started together drift apart.
 func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
+	const tenth = 10
+	for ctx.Err() == nil {
 		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+		sleeper.Sleep(ctx, interval-interval/tenth+rand.N(2*interval/tenth+1))
 	}
 }
 
@@ -206,59 +197,20 @@
 	}
 }
 
-// accept counts a request, unless the instance is draining.
-func (s *Server) accept() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return false
-	}
-	s.inFlight++
-	return true
-}
-
-func (s *Server) finish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight--
-	if s.inFlight == 0 && s.draining {
-		close(s.drained)
-	}
-}
-
-// StopAccepting makes the instance not ready; requests still run.
-func (s *Server) StopAccepting() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return
-	}
-	s.draining = true
-	if s.inFlight == 0 {
-		close(s.drained)
-	}
-}
-
 // Drain refuses new requests and waits for those in flight. It reports whether
 // all of them have ended.
 func (s *Server) Drain(ctx context.Context) bool {
-	s.StopAccepting()
-	select {
-	case <-s.drained:
-	case <-ctx.Done():
+	s.BeginDrain(time.Now())
+	if !s.WaitDrained(ctx) {
 		return false
 	}
 	s.saveHistory(ctx)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return asserter.Holds(s.inFlight == 0, asserter.RuleDrained, "%d requests in flight", s.inFlight) == nil
+	return true
 }
 
 // IsReady reports whether the instance takes requests.
 func (s *Server) IsReady() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.configured.Load() && !s.draining
+	return s.configured.Load() && !s.IsDraining()
 }
 
 // addSuspects takes in suspects and passes on what is news.
--- /dev/null
+++ b/internal/entry/server/tickets.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/config/registrar"
+	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/sleeper"
+	"siskinfall/internal/wire/encoder"
+)
+
+// TicketResult answers a ticket.
+type TicketResult struct {
+	Number uint64 `json:"number"`
+	// Accepted is false for a dry run.
+	Accepted bool `json:"accepted"`
+	// Changes lists what the ticket changes, with the numbers before it.
+	Changes []Change `json:"changes"`
+	// Lagging names the entry instances where it is not in force yet.
+	Lagging []string `json:"lagging,omitempty"`
+	Waited  bool     `json:"waited"`
+	// Elapsed is the time until it was in force everywhere.
+	Elapsed time.Duration `json:"elapsed_nanoseconds,omitempty"`
+}
+
+// Change is one thing that a ticket changes.
+type Change struct {
+	Entity     string          `json:"entity"`
+	FromNumber uint64          `json:"from_number"`
+	Deleted    bool            `json:"deleted,omitempty"`
+	From       json.RawMessage `json:"from,omitempty"`
+	To         json.RawMessage `json:"to,omitempty"`
+}
+
+func (s *Server) postTicket(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTicket))
+	if err != nil {
+		newBodyProblem(err).write(w, "")
+		return
+	}
+	ticket, err := registrar.ParseTicket(body)
+	if err != nil {
+		newProblem(http.StatusUnprocessableEntity, "ticket_invalid", "parse_ticket", err.Error()).write(w, "")
+		return
+	}
+	if ticket.Author == "" {
+		ticket.Author = operatorOf(r)
+	}
+	result, err := s.applyTicket(r.Context(), ticket, r.URL.Query().Get("dry_run") != "", r.URL.Query().Get("wait"))
+	if err != nil {
+		newTicketProblem(err).write(w, "")
+		return
+	}
+	writeJSON(w, result)
+}
+
+func newTicketProblem(err error) *Problem {
+	var superseded *registrar.SupersededError
+	switch {
+	case errors.As(err, &superseded):
+		return newProblem(http.StatusConflict, "ticket_superseded", "accept_ticket", err.Error())
+	case errors.Is(err, registrar.ErrNumberTaken):
+		return newProblem(http.StatusConflict, "ticket_number_taken", "accept_ticket", err.Error())
+	case errors.Is(err, storer.ErrConflict):
+		return newProblem(http.StatusConflict, "ticket_conflict", "accept_ticket", "other operators were faster; apply it again")
+	}
+	p := newProblem(http.StatusServiceUnavailable, "ticket_uncertain", "accept_ticket", err.Error())
+	p.Execution = "unknown"
+	return p
+}
+
+// applyTicket accepts a ticket, or tells only what it would change.
+func (s *Server) applyTicket(ctx context.Context, t *registrar.Ticket, dryRun bool, wait string) (*TicketResult, error) {
+	entities, err := t.Entities()
+	if err != nil {
+		return nil, err
+	}
+	result := &TicketResult{Number: t.Number, Changes: s.diff(entities)}
+	if dryRun {
+		return result, nil
+	}
+	start := time.Now()
+	if _, err := s.registry.Accept(ctx, t); err != nil {
+		return nil, err
+	}
+	result.Accepted = true
+	log.Info("ticket accepted", "number", t.Number, "author", t.Author)
+	s.recorder.AddEvent("ticket", "ticket %d by %s accepted", t.Number, t.Author)
+	s.book.Apply(entities)
+	limit := parseWait(wait)
+	if limit <= 0 {
+		return result, nil
+	}
+	result.Waited = true
+	result.Lagging = s.waitInForce(ctx, entities, limit)
+	result.Elapsed = time.Since(start)
+	return result, nil
+}
+
+// parseWait reads how long to wait for a ticket; 0 for anything but a time.
+func parseWait(text string) time.Duration {
+	limit, err := time.ParseDuration(text)
+	if err != nil {
+		return 0
+	}
+	return limit
+}
+
+// diff tells what states would change.
+func (s *Server) diff(entities []*encoder.Entity) []Change {
+	snap := s.book.Get()
+	list := make([]Change, 0, len(entities))
+	for _, e := range entities {
+		old := snap.Entities[registrar.Ref{Kind: registrar.Kind(e.GetKind()), Name: e.GetName()}]
+		list = append(list, Change{
+			Entity: e.GetKind() + "/" + e.GetName(), FromNumber: old.GetNumber(), Deleted: e.GetDeleted(),
+			From: old.GetBody(), To: e.GetBody(),
+		})
+	}
+	return list
+}
+
+// inForcePoll is the pause between two questions whether a ticket is in force.
+const inForcePoll = 50 * time.Millisecond
+
+// waitInForce waits until states are in force at every listed entry instance,
+// and returns those where they are not.
+func (s *Server) waitInForce(ctx context.Context, entities []*encoder.Entity, limit time.Duration) []string {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		var lagging []string
+		for _, a := range s.askAll(ctx, &encoder.StatusQuery{}) {
+			if a.Err != nil || !hasNumbers(a.Status, entities) {
+				lagging = append(lagging, a.Instance.Name)
+			}
+		}
+		if len(lagging) == 0 || ctx.Err() != nil {
+			return lagging
+		}
+		sleeper.Sleep(ctx, inForcePoll)
+	}
+}
+
+func hasNumbers(status *encoder.EntryStatus, entities []*encoder.Entity) bool {
+	have := make(map[string]uint64, len(status.GetNumbers()))
+	for _, n := range status.GetNumbers() {
+		have[n.GetKind()+"/"+n.GetName()] = n.GetNumber()
+	}
+	for _, e := range entities {
+		if have[e.GetKind()+"/"+e.GetName()] < e.GetNumber() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/expert/coordinator/coordinator.go
+++ b/internal/expert/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/expert/planner"
 	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/encoder"
 )
 
@@ -127,7 +128,7 @@
 		if err != nil {
 			log.Debug("round incomplete", "step", "lead_group", "group", c.group.Name, "error", err)
 		}
-		wait(ctx, c.pause)
+		sleeper.Sleep(ctx, c.pause)
 	}
 	return nil
 }
--- a/internal/expert/coordinator/coordinator_test.go
+++ b/internal/expert/coordinator/coordinator_test.go
@@ -19,6 +19,7 @@
 	"siskinfall/internal/config/registrar"
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/expert/planner"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/encoder"
 )
 
@@ -191,7 +192,7 @@
 			defer cancel()
 			_ = c.Run(life)
 		})
-		wait(ctx, b.random(4*time.Second))
+		sleeper.Sleep(ctx, b.random(4*time.Second))
 	}
 }
 
@@ -262,7 +263,7 @@
 		if err == nil && b.takeGrant(m, incarnation, n, placed) {
 			return a
 		}
-		wait(ctx, time.Millisecond)
+		sleeper.Sleep(ctx, time.Millisecond)
 	}
 	return follower.Assignment{}
 }
@@ -292,7 +293,7 @@
 // breakThings restarts agents, and replaces whole instances, now and then.
 func (b *bench) breakThings(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, b.random(3*time.Second))
+		sleeper.Sleep(ctx, b.random(3*time.Second))
 		m := b.members[b.group.Members[b.random(3)]]
 		if b.chance(0.2) {
 			b.replaceEngine(m)
@@ -390,3 +391,29 @@
 		}
 	})
 }
+
+// A group whose configured shape has changed gets a map of the new shape.
+func TestNewShapeGetsANewMap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(1)
+		b.mu.Lock()
+		b.faulty = false
+		b.mu.Unlock()
+		time.Sleep(time.Second)
+		c.Assert(New(b.group, 1, b).round(t.Context()), qt.IsNil)
+		c.Assert(b.step(t.Context(), 1), qt.IsTrue)
+		larger := *b.group
+		larger.Layers, larger.SlotsPerRank = 3, 4
+		lead := New(&larger, 2, b)
+		c.Assert(lead.round(t.Context()), qt.IsNil)
+		history := lead.GetHistory()
+		c.Assert(history[len(history)-1].Outcome, qt.Equals, "in_force")
+		c.Assert(b.step(t.Context(), 200), qt.IsTrue)
+		placed := b.members["m0"].memory.Map
+		c.Assert(lead.fits(placed), qt.IsTrue)
+		for _, m := range b.members {
+			m.cancel()
+		}
+	})
+}
--- a/internal/expert/coordinator/rebalance.go
+++ b/internal/expert/coordinator/rebalance.go
@@ -10,6 +10,7 @@
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/expert/planner"
 	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/encoder"
 )
 
@@ -34,7 +35,7 @@
 	skew := c.observe(replies)
 	c.finishHistory(skew)
 	m := follower.DecodeMap(present)
-	d := c.planner.Decide(m.Layers)
+	d := c.decideMap(m)
 	ch := Change{Time: time.Now().UTC(), Version: m.Version, Decision: d, SkewBefore: skew, Outcome: "staying"}
 	if d.Moved == 0 {
 		c.addHistory(ch)
@@ -136,7 +137,7 @@
 		if err == nil || errors.Is(err, ErrSuperseded) {
 			return
 		}
-		wait(ctx, pause)
+		sleeper.Sleep(ctx, pause)
 	}
 }
 
@@ -161,12 +162,42 @@
 		if err == nil && allStaged(replies, wire.GetVersion()) {
 			return replies, nil
 		}
-		if wait(ctx, c.pause/2); ctx.Err() != nil {
+		if sleeper.Sleep(ctx, c.pause/2); ctx.Err() != nil {
 			return nil, wrapper.At("stage", c.group.Name, errStaged)
 		}
 	}
 }
 
+// decideMap plans from a map, or anew for a group whose shape has changed.
+func (c *Coordinator) decideMap(m *planner.Map) *planner.Decision {
+	if c.fits(m) {
+		return c.planner.Decide(m.Layers)
+	}
+	d := &planner.Decision{Reason: "the shape of the group has changed", Moved: c.group.Layers * c.shape.Slots()}
+	for range c.group.Layers {
+		d.Layers = append(d.Layers, planner.Contiguous(c.shape))
+	}
+	return d
+}
+
+// fits reports whether a map has the group's present shape.
+func (c *Coordinator) fits(m *planner.Map) bool {
+	if len(m.Layers) != c.group.Layers {
+		return false
+	}
+	for _, layer := range m.Layers {
+		if len(layer) != c.shape.Slots() {
+			return false
+		}
+		for _, e := range layer {
+			if int(e) >= c.shape.Experts {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // isFieldLate reports whether copies would slow work that waits already.
 func isFieldLate(replies []*encoder.GroupReply) bool {
 	for _, r := range replies {
@@ -209,12 +240,3 @@
 	}
 	return step + ahead*c.fenceFactor
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/platform/leaser/leaser_test.go
@@ -0,0 +1,66 @@
+package leaser
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/standin/keeper"
+)
+
+const ttl = 10 * time.Second
+
+func TestOneHolderAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := keeper.NewDirect(1)
+		first, err := Acquire(t.Context(), store, "sweep", "a", ttl)
+		c.Assert(err, qt.IsNil)
+		_, err = Acquire(t.Context(), store, "sweep", "b", ttl)
+		c.Assert(IsErrHeld(err), qt.IsTrue)
+		time.Sleep(ttl / 2)
+		c.Assert(first.Renew(t.Context()), qt.IsNil)
+		time.Sleep(ttl * 3 / 4)
+		_, err = Acquire(t.Context(), store, "sweep", "b", ttl)
+		c.Assert(IsErrHeld(err), qt.IsTrue)
+	})
+}
+
+// A holder that was paused past its lease finds out before it acts, and its
+// successor has a higher fencing number.
+func TestPausedHolderFindsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := keeper.NewDirect(1)
+		first, err := Acquire(t.Context(), store, "sweep", "a", ttl)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(ttl + time.Second)
+		second, err := Acquire(t.Context(), store, "sweep", "b", ttl)
+		c.Assert(err, qt.IsNil)
+		c.Assert(first.Check(), qt.ErrorIs, ErrLapsed)
+		c.Assert(first.Renew(t.Context()), qt.ErrorIs, ErrLapsed)
+		c.Assert(second.Fence() > first.Fence(), qt.IsTrue)
+	})
+}
+
+// A write that landed after its error leaves the lease with whoever the row says.
+func TestLateWriteLosesToTheRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := keeper.NewDirect(1)
+		store.SetChances(keeper.Chances{Late: 1})
+		_, err := Acquire(t.Context(), store, "sweep", "a", ttl)
+		c.Assert(err, qt.IsNotNil)
+		store.SetChances(keeper.Chances{})
+		second, err := Acquire(t.Context(), store, "sweep", "b", ttl)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+		c.Assert(second.Check(), qt.IsNil)
+		_, err = Acquire(t.Context(), store, "sweep", "a", ttl)
+		c.Assert(IsErrHeld(err), qt.IsTrue)
+		c.Assert(storer.IsErrConflict(err), qt.IsFalse)
+	})
+}
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -73,7 +73,7 @@
 // readHeaderTimeout bounds the wait for a request's head.
 const readHeaderTimeout = 10 * time.Second
 
-// listener binds several addresses and closes all of them on failure.
+// listeners binds several addresses and closes all of them on failure.
 type listeners struct {
 	list []net.Listener
 }
@@ -90,44 +90,97 @@
 	return ln, nil
 }
 
+// process is what an entry instance and an agent have in common.
+type process struct {
+	hello *encoder.Hello
+	// callers is nil for an agent.
+	callers http.Handler
+	admin   http.Handler
+	handle  connector.Handler
+	// run works in the background until its context ends.
+	run func(context.Context)
+	// drain refuses new work and reports whether the work in flight has ended.
+	drain        func(context.Context) bool
+	drainTimeout time.Duration
+}
+
 // RunEntry runs an entry instance until stop.
 func RunEntry(stop Stop, cfg *loader.Settings) error {
+	return runProcess(stop, cfg, func(ctx context.Context, incarnation uint64, p storer.Platform) *process {
+		s := entry.New(ctx, cfg, incarnation, p)
+		return &process{
+			hello: s.Hello(), callers: s.CallersHandler(), admin: s.AdminHandler(), handle: s.Handle,
+			run: s.Run, drain: s.Drain, drainTimeout: cfg.Entry.DrainTimeout,
+		}
+	})
+}
+
+// RunAgent runs an agent until stop.
+func RunAgent(stop Stop, cfg *loader.Settings) error {
+	return runProcess(stop, cfg, func(ctx context.Context, incarnation uint64, p storer.Platform) *process {
+		hello := &encoder.Hello{
+			Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: tracker.RoleAgent, Incarnation: incarnation,
+		}
+		pool := connector.NewPool(hello)
+		context.AfterFunc(ctx, pool.Close)
+		s := agent.New(ctx, cfg, incarnation, p, pool)
+		return &process{
+			hello: hello, admin: s.AdminHandler(), handle: s.Handle, run: s.Run, drain: s.Drain, drainTimeout: cfg.Agent.DrainTimeout,
+		}
+	})
+}
+
+// runProcess serves until stop, then ends the work in flight.
+func runProcess(stop Stop, cfg *loader.Settings, newProcess func(context.Context, uint64, storer.Platform) *process) error {
+	ctx, cancel := context.WithCancel(stop.Forced)
+	defer cancel()
+	platform := storer.NewClient(cfg.Platform.Address, storer.WithTimeout(cfg.Platform.Timeout))
+	p := newProcess(ctx, newIncarnation(), platform)
 	var ls listeners
-	callers, err := ls.bind(cfg.Listen.Callers)
-	if err != nil {
-		return err
-	}
-	admin, err := ls.bind(cfg.Listen.Admin)
+	peers, err := ls.bind(cfg.Listen.Peers)
 	if err != nil {
 		return err
 	}
-	peers, err := ls.bind(cfg.Listen.Peers)
+	servers, err := newServers(&ls, cfg, p)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(stop.Forced)
-	defer cancel()
-	platform := storer.NewClient(cfg.Platform.Address, storer.WithTimeout(cfg.Platform.Timeout))
-	s := entry.New(ctx, cfg, newIncarnation(), platform)
-	callerServer := &http.Server{Handler: s.CallersHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	adminServer := &http.Server{Handler: s.AdminHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	acceptor := connector.NewAcceptor(s.Hello(), s.Handle)
 	var wg sync.WaitGroup
-	wg.Go(func() { s.Run(ctx) })
-	wg.Go(func() { serveHTTP(callerServer, callers) })
-	wg.Go(func() { serveHTTP(adminServer, admin) })
-	wg.Go(func() { _ = acceptor.Serve(ctx, peers) })
-	log.Info("entry started", "callers", callers.Addr(), "admin", admin.Addr(), "peers", peers.Addr())
+	for i, srv := range servers {
+		wg.Go(func() { serveHTTP(srv, ls.list[i+1]) })
+	}
+	wg.Go(func() { _ = connector.NewAcceptor(p.hello, p.handle).Serve(ctx, peers) })
+	wg.Go(func() { p.run(ctx) })
+	log.Info("started", "role", p.hello.GetRole(), "peers", peers.Addr(), "admin", cfg.Listen.Admin)
 	<-stop.Graceful.Done()
-	log.Info("entry stopping")
-	done := drain(stop, cfg.Entry.DrainTimeout, s.Drain)
-	shutdown(stop, callerServer)
+	log.Info("stopping", "role", p.hello.GetRole())
+	done := drain(stop, p.drainTimeout, p.drain)
+	for _, srv := range servers {
+		shutdown(stop, srv)
+	}
 	cancel()
-	_ = adminServer.Close()
 	wg.Wait()
 	return ended(done)
 }
 
+// newServers binds the HTTP listeners in order, behind the one for peers.
+func newServers(ls *listeners, cfg *loader.Settings, p *process) ([]*http.Server, error) {
+	var servers []*http.Server
+	for _, l := range []struct {
+		addr    netip.AddrPort
+		handler http.Handler
+	}{{cfg.Listen.Callers, p.callers}, {cfg.Listen.Admin, p.admin}} {
+		if l.handler == nil {
+			continue
+		}
+		if _, err := ls.bind(l.addr); err != nil {
+			return nil, err
+		}
+		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout})
+	}
+	return servers, nil
+}
+
 // drain waits for work in flight, bounded by limit and by force.
 func drain(stop Stop, limit time.Duration, f func(context.Context) bool) bool {
 	ctx, cancel := context.WithTimeout(stop.Forced, limit)
@@ -160,40 +213,3 @@
 		log.Error("listener ended", "address", ln.Addr(), "error", err)
 	}
 }
-
-// RunAgent runs an agent until stop.
-func RunAgent(stop Stop, cfg *loader.Settings) error {
-	var ls listeners
-	admin, err := ls.bind(cfg.Listen.Admin)
-	if err != nil {
-		return err
-	}
-	peers, err := ls.bind(cfg.Listen.Peers)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancel(stop.Forced)
-	defer cancel()
-	platform := storer.NewClient(cfg.Platform.Address, storer.WithTimeout(cfg.Platform.Timeout))
-	incarnation := newIncarnation()
-	hello := &encoder.Hello{
-		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: tracker.RoleAgent, Incarnation: incarnation,
-	}
-	pool := connector.NewPool(hello)
-	defer pool.Close()
-	s := agent.New(ctx, cfg, incarnation, platform, pool)
-	adminServer := &http.Server{Handler: s.AdminHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	acceptor := connector.NewAcceptor(hello, s.Handle)
-	var wg sync.WaitGroup
-	wg.Go(func() { s.Run(ctx) })
-	wg.Go(func() { serveHTTP(adminServer, admin) })
-	wg.Go(func() { _ = acceptor.Serve(ctx, peers) })
-	log.Info("agent started", "admin", admin.Addr(), "peers", peers.Addr(), "backend", cfg.Agent.Backend)
-	<-stop.Graceful.Done()
-	log.Info("agent stopping")
-	done := drain(stop, cfg.Agent.DrainTimeout, s.Drain)
-	cancel()
-	_ = adminServer.Close()
-	wg.Wait()
-	return ended(done)
-}
--- /dev/null
+++ b/internal/process/sleeper/sleeper.go
@@ -0,0 +1,20 @@
+// Package sleeper waits in ways that a context can end.
+package sleeper
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits until d has passed or ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -8,6 +8,14 @@
 	"time"
 )
 
+// note is a decision that is not formatted yet: most traces are never read.
+type note struct {
+	after  time.Duration
+	step   string
+	format string
+	args   []any
+}
+
 // Decision is one step in the handling of a request.
 type Decision struct {
 	// After is the time since the request arrived.
@@ -24,18 +32,18 @@
 	Service   string
 	Start     time.Time
 	mu        sync.Mutex
-	decisions []Decision
+	notes     []note
 }
 
 // maxDecisions bounds one trace.
 const maxDecisions = 64
 
-// Add appends a decision.
+// Add appends a decision. The arguments must not change afterwards.
 func (t *Trace) Add(step, format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.decisions) < maxDecisions {
-		t.decisions = append(t.decisions, Decision{After: time.Since(t.Start), Step: step, Text: fmt.Sprintf(format, args...)})
+	if len(t.notes) < maxDecisions {
+		t.notes = append(t.notes, note{after: time.Since(t.Start), step: step, format: format, args: args})
 	}
 }
 
@@ -99,10 +107,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return View{
-		RequestID: t.RequestID, Account: t.Account, Service: t.Service, Start: t.Start,
-		Decisions: append([]Decision(nil), t.decisions...),
-	}, true
+	v := View{RequestID: t.RequestID, Account: t.Account, Service: t.Service, Start: t.Start}
+	for _, n := range t.notes {
+		v.Decisions = append(v.Decisions, Decision{After: n.after, Step: n.step, Text: fmt.Sprintf(n.format, n.args...)})
+	}
+	return v, true
 }
 
 // AddEvent records an event.
--- a/internal/routing/tracker/tracker.go
+++ b/internal/routing/tracker/tracker.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sort"
@@ -15,6 +16,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/routing/picker"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
@@ -306,10 +308,7 @@
 		if time.Since(start) > maxReconnect {
 			wait = minReconnect
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
+		sleeper.Sleep(ctx, wait/2+rand.N(wait))
 	}
 }
 
--- a/internal/standin/bencher/fakes.go
+++ b/internal/standin/bencher/fakes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/standin/starter"
 	"siskinfall/internal/wire/connector"
@@ -45,7 +46,7 @@
 			if st.Send(status) != nil {
 				return
 			}
-			wait(ctx, interval)
+			sleeper.Sleep(ctx, interval)
 		}
 	case *encoder.Open_Config:
 		_ = st.Send(&encoder.ConfigSync{Instance: name, Digest: k.Config.GetDigest()})
@@ -85,12 +86,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/bencher/tickets.go
+++ b/internal/standin/bencher/tickets.go
@@ -10,6 +10,7 @@
 	entry "siskinfall/internal/entry/server"
 	"siskinfall/internal/operator/caller"
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
@@ -158,6 +159,6 @@
 		if err != nil {
 			return err
 		}
-		wait(ctx, time.Millisecond)
+		sleeper.Sleep(ctx, time.Millisecond)
 	}
 }
--- a/internal/standin/responder/rank.go
+++ b/internal/standin/responder/rank.go
@@ -9,6 +9,7 @@
 
 	"siskinfall/internal/agent/driver"
 	"siskinfall/internal/expert/planner"
+	"siskinfall/internal/process/sleeper"
 )
 
 // stageTime is how long the stand-in takes to copy weights.
@@ -70,5 +71,5 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	sleep(r.Context(), stageTime)
+	sleeper.Sleep(r.Context(), stageTime)
 }
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -3,7 +3,6 @@
 package responder
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"siskinfall/internal/agent/driver"
+	"siskinfall/internal/process/sleeper"
 )
 
 // Faults are the switches of a Responder.
@@ -174,22 +174,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.Latency > 0 {
-		sleep(r.Context(), f.Latency)
+		sleeper.Sleep(r.Context(), f.Latency)
 	}
 	for s.getFaults().Stall && r.Context().Err() == nil {
-		sleep(r.Context(), 10*time.Millisecond)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		sleeper.Sleep(r.Context(), 10*time.Millisecond)
 	}
 }
 
@@ -251,7 +239,7 @@
 func (s *Responder) answerWhole(w http.ResponseWriter, r *http.Request, seed uint64, n int) {
 	var text strings.Builder
 	for i := range n {
-		sleep(r.Context(), s.getFaults().TokenDelay)
+		sleeper.Sleep(r.Context(), s.getFaults().TokenDelay)
 		text.WriteString(Token(seed, i))
 	}
 	writeJSON(w, map[string]any{"choices": []any{map[string]any{"message": map[string]string{"content": text.String()}}}})
@@ -268,7 +256,7 @@
 			return
 		}
 		if f.TokenDelay > 0 {
-			sleep(r.Context(), f.TokenDelay)
+			sleeper.Sleep(r.Context(), f.TokenDelay)
 		}
 		_, _ = io.WriteString(w, Event(seed, i))
 		w.(http.Flusher).Flush()
--- a/internal/standin/stepper/stepper.go
+++ b/internal/standin/stepper/stepper.go
@@ -20,6 +20,7 @@
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/expert/planner"
 	"siskinfall/internal/expert/tracer"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/standin/responder"
 )
 
@@ -90,7 +91,7 @@
 	}
 	wg.Wait()
 	if failed.Load() {
-		pause(ctx, stepTime)
+		sleeper.Sleep(ctx, stepTime)
 		return false
 	}
 	if err := s.post(ctx, s.members[0].Agent, agent.PathConfirmStep, assignments, nil); err != nil {
@@ -126,14 +127,14 @@
 	skew := 0.0
 	layers := s.members[0].Engine.GetLayers()
 	if len(layers) != len(s.traces) || n%sampleEvery != 0 {
-		pause(ctx, stepTime)
+		sleeper.Sleep(ctx, stepTime)
 		return 0
 	}
 	for i, tr := range s.traces {
 		l := &planner.Load{Shape: s.shape, Tokens: tr.Next(), Speeds: planner.EvenSpeeds(s.shape.Ranks)}
 		skew += planner.Skew(l, layers[i]) / float64(len(s.traces))
 	}
-	pause(ctx, time.Duration(skew*float64(stepTime)))
+	sleeper.Sleep(ctx, time.Duration(skew*float64(stepTime)))
 	return skew
 }
 
@@ -177,12 +178,3 @@
 	}
 	return json.NewDecoder(resp.Body).Decode(out)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -25,6 +25,9 @@
 	writeTimeout     = 5 * time.Second
 )
 
+// acceptBacklog is the number of streams that may wait to be accepted.
+const acceptBacklog = 512
+
 // writeBuffer is the size of a stream's write buffer, in bytes.
 const writeBuffer = 1 << 10
 
@@ -63,7 +66,7 @@
 	cfg := yamux.DefaultConfig()
 	cfg.KeepAliveInterval = keepAlive
 	cfg.ConnectionWriteTimeout = writeTimeout
-	cfg.AcceptBacklog = 4096
+	cfg.AcceptBacklog = acceptBacklog
 	cfg.LogOutput = io.Discard
 	return cfg
 }
@@ -121,6 +124,8 @@
 	// session is nil until a dial succeeds.
 	session *yamux.Session
 	hello   *encoder.Hello
+	// used is when a stream was last opened.
+	used time.Time
 }
 
 // NewPool returns a Pool that introduces itself with own.
@@ -178,6 +183,30 @@
 	}
 }
 
+// CloseIdle closes sessions without streams that were not used for some time.
+func (p *Pool) CloseIdle(after time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, l := range p.links {
+		if l.closeIdle(after) {
+			delete(p.links, addr)
+		}
+	}
+}
+
+// closeIdle closes the session if it is idle; one that is being dialled is not.
+func (l *link) closeIdle(after time.Duration) bool {
+	if !l.mu.TryLock() {
+		return false
+	}
+	defer l.mu.Unlock()
+	if l.session == nil || time.Since(l.used) < after || l.session.NumStreams() > 0 {
+		return false
+	}
+	_ = l.session.Close()
+	return true
+}
+
 // Close closes all sessions.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -213,6 +242,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.used = time.Now()
 	if l.session != nil && !l.session.IsClosed() {
 		return l.session, l.hello, nil
 	}
--- /dev/null
+++ b/internal/wire/connector/connector_test.go
@@ -0,0 +1,123 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/wire/encoder"
+)
+
+func newHello(name string) *encoder.Hello {
+	return &encoder.Hello{Version: encoder.Version, Instance: name}
+}
+
+// serve starts an acceptor; the returned function stops it and waits.
+func serve(c *qt.C, handler Handler) (addr netip.AddrPort, stop func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = NewAcceptor(newHello("server"), handler).Serve(ctx, ln)
+	}()
+	return ln.Addr().(*net.TCPAddr).AddrPort(), func() { cancel(); <-done }
+}
+
+func echo(_ context.Context, peer *encoder.Hello, open *encoder.Open, st *Stream) {
+	_ = st.Send(&encoder.ConfigSync{Instance: peer.GetInstance(), Digest: open.GetConfig().GetDigest()})
+}
+
+func newOpen(digest uint64) *encoder.Open {
+	return &encoder.Open{Kind: &encoder.Open_Config{Config: &encoder.ConfigSync{Digest: digest}}}
+}
+
+func TestCallsShareOneSessionAndLeaveNothingBehind(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	addr, stop := serve(c, echo)
+	pool := NewPool(newHello("client"))
+	var wg sync.WaitGroup
+	for i := range uint64(50) {
+		wg.Go(func() {
+			reply := &encoder.ConfigSync{}
+			c.Check(pool.Call(t.Context(), addr, newOpen(i), reply), qt.IsNil)
+			c.Check(reply.GetDigest(), qt.Equals, i)
+			c.Check(reply.GetInstance(), qt.Equals, "client")
+		})
+	}
+	wg.Wait()
+	c.Assert(pool.links, qt.HasLen, 1)
+	pool.CloseIdle(time.Hour)
+	c.Assert(pool.links, qt.HasLen, 1)
+	pool.CloseIdle(0)
+	c.Assert(pool.links, qt.HasLen, 0)
+	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.IsNil)
+	pool.Close()
+	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.IsNotNil)
+	stop()
+}
+
+func TestOtherVersionIsRefusedWithStepAndPeer(t *testing.T) {
+	c := qt.New(t)
+	addr, stop := serve(c, echo)
+	defer stop()
+	pool := NewPool(&encoder.Hello{Version: encoder.Version + 1, Instance: "newer"})
+	defer pool.Close()
+	err := pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{})
+	c.Assert(err, qt.IsNotNil)
+	step, peer := wrapper.GetStep(err)
+	c.Assert(string(step) != "", qt.IsTrue)
+	c.Assert(peer, qt.Not(qt.Equals), "")
+}
+
+func TestFrameAboveTheLimitClosesItsStreamOnly(t *testing.T) {
+	c := qt.New(t)
+	addr, stop := serve(c, func(_ context.Context, _ *encoder.Hello, open *encoder.Open, st *Stream) {
+		if open.GetConfig().GetDigest() == 1 {
+			_, _ = st.conn.Write(bytes.Repeat([]byte{0xff}, 9))
+			_, _ = st.conn.Write([]byte{1})
+			return
+		}
+		echo(context.Background(), newHello("x"), open, st)
+	})
+	defer stop()
+	pool := NewPool(newHello("client"))
+	defer pool.Close()
+	err := pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{})
+	c.Assert(err, qt.ErrorMatches, "receive_frame at server: .*")
+	c.Assert(pool.Call(t.Context(), addr, newOpen(2), &encoder.ConfigSync{}), qt.IsNil)
+}
+
+func TestCoalescerKeepsOrderAndFlushesOnClose(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	w := newCoalescer(near)
+	var want strings.Builder
+	got := make(chan string, 1)
+	go func() {
+		data, _ := io.ReadAll(far)
+		got <- string(data)
+	}()
+	for i := range 2000 {
+		part := strings.Repeat(string(rune('a'+i%26)), i%97)
+		want.WriteString(part)
+		_, err := w.Write([]byte(part))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(w.Close(), qt.IsNil)
+	c.Assert(<-got, qt.Equals, want.String())
+	_, err := w.Write([]byte("late"))
+	c.Assert(err, qt.IsNotNil)
+}
