Copy lanes, hops to other regions, pickers by service, bounded shutdown

Cause: reading the code showed a shutdown that would wait for a table that is down without bound, one picker for services of different speeds, a setting that did nothing (client_hop), requests of a stalled group that waited for their deadline, and no budget over several groups. Change: each mended, with its test; client_hop is gone, hops names zones with other latencies; groups of one copy_lane move one at a time.

--- a/internal/agent/leader/leader.go
+++ b/internal/agent/leader/leader.go
@@ -17,6 +17,7 @@
 	"siskinfall/internal/expert/coordinator"
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/platform/leaser"
 	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/connector"
@@ -83,13 +84,32 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go l.cancelOnChange(ctx, cancel, group)
-	c := coordinator.New(group, epoch, l)
+	c := coordinator.New(group, epoch, l, coordinator.WithLane(l.newLane(group)))
 	l.setCurrent(c)
 	defer l.setCurrent(nil)
 	log.Info("leading group", "group", group.Name, "epoch", epoch)
 	return c.Run(ctx)
 }
 
+// newLane returns what asks for a group's lane: a lease that the groups of the
+// lane share. With the platform down no group moves, which is not urgent.
+func (l *Leader) newLane(group *registrar.Group) coordinator.EnterLane {
+	return func(ctx context.Context, limit time.Duration) (func(), error) {
+		if group.Lane == "" {
+			return func() {}, nil
+		}
+		lease, err := leaser.Acquire(ctx, l.platform, "copy_lane/"+group.Lane, group.Name, limit)
+		if err != nil {
+			return nil, err
+		}
+		return func() {
+			if err := lease.Release(context.WithoutCancel(ctx)); err != nil {
+				log.Debug("lane not released", "step", "leave_lane", "group", group.Name, "error", err)
+			}
+		}, nil
+	}
+}
+
 func (l *Leader) cancelOnChange(ctx context.Context, cancel context.CancelFunc, group *registrar.Group) {
 	for ctx.Err() == nil && l.book.Get().Groups[l.group] == group {
 		sleeper.Sleep(ctx, checkInterval)
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -192,7 +192,7 @@
 	if !s.WaitDrained(ctx) {
 		return false
 	}
-	s.guard.Wait()
+	s.guard.Wait(ctx)
 	return true
 }
 
--- a/internal/config/registrar/aggregate.go
+++ b/internal/config/registrar/aggregate.go
@@ -119,6 +119,9 @@
 	RebalanceInterval time.Duration `yaml:"rebalance_interval" json:"rebalance_interval"`
 	// CopyRate is the byte budget of all copies together, in bytes a second.
 	CopyRate int64 `yaml:"copy_bytes_per_second" json:"copy_bytes_per_second"`
+	// Lane names the groups that share a byte budget: one of them moves at a time.
+	// Groups without a lane move whenever they want.
+	Lane string `yaml:"copy_lane" json:"copy_lane,omitempty"`
 }
 
 // Ranking says how classes of work rank against each other.
@@ -248,6 +251,7 @@
 	r.demand(g.RebalanceInterval >= time.Second, "rebalance_interval is below 1s")
 	r.demand(g.ExpertBytes > 0, "expert_bytes is not positive")
 	r.demand(g.CopyRate > 0, "copy_bytes_per_second is not positive")
+	r.demand(g.Lane == "" || validName(g.Lane), "copy_lane %q is not a valid name", g.Lane)
 	return r.broken
 }
 
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"siskinfall/internal/config/registrar"
@@ -80,9 +82,12 @@
 
 // Dispatcher runs requests; it is safe for concurrent use.
 type Dispatcher struct {
-	tracker    *tracker.Tracker
-	pool       *connector.Pool
-	picker     *picker.Picker
+	tracker   *tracker.Tracker
+	pool      *connector.Pool
+	newPicker func() *picker.Picker
+	mu        sync.Mutex
+	// pickers holds one for each service, since services take different times.
+	pickers    map[string]*picker.Picker
 	executions *guard.Registry
 	suspects   *isolator.Set
 	book       *registrar.Book
@@ -105,9 +110,9 @@
 }
 
 // New returns a Dispatcher.
-func New(t *tracker.Tracker, pool *connector.Pool, p *picker.Picker, g *guard.Registry, s *isolator.Set, b *registrar.Book, opts ...Option) *Dispatcher {
+func New(t *tracker.Tracker, pool *connector.Pool, newPicker func() *picker.Picker, g *guard.Registry, s *isolator.Set, b *registrar.Book, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
-		tracker: t, pool: pool, picker: p, executions: g, suspects: s, book: b, budgets: newBudgets(),
+		tracker: t, pool: pool, newPicker: newPicker, pickers: make(map[string]*picker.Picker), executions: g, suspects: s, book: b, budgets: newBudgets(),
 		onSuspects: func([]*encoder.Suspect) {}, onBehind: func(*tracker.Target) {},
 	}
 	for _, opt := range opts {
@@ -193,6 +198,8 @@
 // mayRetry pays for another attempt and pauses, or ends the request.
 func (j *job) mayRetry(ctx context.Context, pause *pause) Outcome {
 	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return &CallerGone{}
 	case ctx.Err() != nil:
 		return j.giveUp(ctx, encoder.CodeTooLate, "retry")
 	case j.attempts >= j.Service.Attempts:
@@ -205,15 +212,28 @@
 	return nil
 }
 
+// getPicker returns the picker of a service.
+func (d *Dispatcher) getPicker(service string) *picker.Picker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pickers[service]
+	if p == nil {
+		p = d.newPicker()
+		d.pickers[service] = p
+	}
+	return p
+}
+
 // pick chooses a backend server.
 func (j *job) pick() *tracker.Target {
 	set := j.tracker.GetService(j.Service.Name)
 	demand := picker.Demand{Prefix: j.Prefix, Exclude: j.tried, Now: time.Now()}
-	b := j.picker.Pick(set.Backends, demand)
+	p := j.getPicker(j.Service.Name)
+	b := p.Pick(set.Backends, demand)
 	if b == nil {
 		return nil
 	}
-	j.Trace.Add("pick", "%s with %.4f s; others: %v", b.Name, j.picker.Score(b, demand), j.scoreOthers(set, b, demand))
+	j.Trace.Add("pick", "%s with %.4f s; others: %v", b.Name, p.Score(b, demand), scoreOthers(p, set, b, demand))
 	return set.GetTarget(b)
 }
 
@@ -237,11 +257,11 @@
 }
 
 // scoreOthers lists the first backend servers that were not chosen.
-func (j *job) scoreOthers(set *tracker.ServiceSet, chosen *picker.Backend, demand picker.Demand) []scored {
+func scoreOthers(p *picker.Picker, set *tracker.ServiceSet, chosen *picker.Backend, demand picker.Demand) []scored {
 	list := make([]scored, 0, min(len(set.Backends), maxScored))
 	for _, b := range set.Backends {
 		if b != chosen && len(list) < maxScored {
-			list = append(list, scored{name: b.Name, score: j.picker.Score(b, demand), out: !b.IsAvailable()})
+			list = append(list, scored{name: b.Name, score: p.Score(b, demand), out: !b.IsAvailable()})
 		}
 	}
 	return list
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -60,7 +60,7 @@
 	for len(tr.GetService("svc").Backends) < agents {
 		sleep(ctx, time.Millisecond)
 	}
-	r.Dispatcher = New(tr, pool, picker.New(), guard.NewRegistry(r.platform), r.suspects, registrar.NewBook())
+	r.Dispatcher = New(tr, pool, func() *picker.Picker { return picker.New() }, guard.NewRegistry(r.platform), r.suspects, registrar.NewBook())
 	return r
 }
 
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -85,11 +85,17 @@
 		tracker.WithConnected(s.agentConnected),
 		tracker.WithStatus(s.agentReported),
 	)
-	pick := picker.New(
-		picker.WithZone(cfg.Zone, cfg.Entry.ZoneHop),
-		picker.WithWay(picker.ExpectedCompletion{Candidates: cfg.Entry.Candidates}),
-	)
-	s.dispatcher = dispatcher.New(s.tracker, s.pool, pick, s.executions, s.suspects, s.book,
+	newPicker := func() *picker.Picker {
+		opts := []picker.Option{
+			picker.WithZone(cfg.Zone, cfg.Entry.ZoneHop),
+			picker.WithWay(picker.ExpectedCompletion{Candidates: cfg.Entry.Candidates}),
+		}
+		for _, h := range cfg.Entry.Hops {
+			opts = append(opts, picker.WithHop(h.Zone, h.OneWay))
+		}
+		return picker.New(opts...)
+	}
+	s.dispatcher = dispatcher.New(s.tracker, s.pool, newPicker, s.executions, s.suspects, s.book,
 		dispatcher.WithSuspects(s.addSuspects),
 		dispatcher.WithBehind(s.pushToAgent),
 	)
@@ -154,7 +160,7 @@
 // listPollers is the number of entry instances of a zone that together read the
 // instance list once in each poll interval. The list is large, and an agent's
 // own word and its silence tell sooner.
-const listPollers = 4
+const listPollers = 2
 
 // listEvery is the number of polls for each of which this instance reads the
 // instance list once.
--- a/internal/execution/guard/guard.go
+++ b/internal/execution/guard/guard.go
@@ -82,8 +82,18 @@
 	return &Guard{platform: p, owner: owner, running: make(map[string]*Permit), ctx: ctx}
 }
 
-// Wait waits for the background writes.
-func (g *Guard) Wait() { g.wg.Wait() }
+// Wait waits for the background writes, until ctx ends.
+func (g *Guard) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		g.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
 
 // insertTries bounds the writes for one permission.
 const insertTries = 4
--- a/internal/execution/guard/guard_test.go
+++ b/internal/execution/guard/guard_test.go
@@ -229,7 +229,7 @@
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(p.HandOver(), qt.IsNil)
 		p.Fail()
-		g.Wait()
+		g.Wait(t.Context())
 		c.Assert(begin(c, g, "k", "2", "d", 1), qt.DeepEquals, Decision(&Denial{Reason: ReasonLost}))
 		reg := NewRegistry(store)
 		id := ID{Account: "a", Service: "s", Key: "k"}
@@ -241,6 +241,26 @@
 	})
 }
 
+// A shutdown while the store is down does not wait for it longer than it may.
+func TestWaitEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := keeper.NewDirect(1)
+		background, stop := context.WithCancel(t.Context())
+		g := New(background, store, Owner{Instance: "one"})
+		p, ok := begin(c, g, "k", "1", "d", 1).(*Permit)
+		c.Assert(ok, qt.IsTrue)
+		store.SetChances(keeper.Chances{Fail: 1})
+		p.Fail()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		g.Wait(ctx)
+		c.Assert(ctx.Err(), qt.IsNotNil)
+		stop()
+		g.Wait(t.Context())
+	})
+}
+
 func TestSweepDeletesExpiredRowsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/expert/coordinator/coordinator.go
+++ b/internal/expert/coordinator/coordinator.go
@@ -61,6 +61,7 @@
 	planner   *planner.Planner
 	shape     planner.Shape
 	pause     time.Duration
+	enterLane EnterLane
 	// decisions are those of this epoch, true for commit. They are never changed:
 	// a message that carries one may still be under way.
 	decisions map[uint64]bool
@@ -91,9 +92,16 @@
 	Hold time.Duration `json:"hold_nanoseconds"`
 }
 
+// EnterLane waits for nothing: it returns an error if another group of the lane
+// moves. The lane is held for at most the given time, or until leave is called.
+type EnterLane func(ctx context.Context, limit time.Duration) (leave func(), err error)
+
 // Option configures a Coordinator.
 type Option func(*Coordinator)
 
+// WithLane sets what asks for the group's lane before each move.
+func WithLane(f EnterLane) Option { return func(c *Coordinator) { c.enterLane = f } }
+
 // WithPause sets the pause between two rounds.
 func WithPause(d time.Duration) Option { return func(c *Coordinator) { c.pause = d } }
 
@@ -110,6 +118,7 @@
 	c := &Coordinator{
 		group: group, epoch: epoch, transport: transport, shape: shape, pause: roundPause, fenceFactor: 1,
 		decisions: make(map[uint64]bool),
+		enterLane: func(context.Context, time.Duration) (func(), error) { return func() {}, nil },
 		planner:   planner.New(shape, group.Layers, prices, planner.WithMaxMoves(int(max(budget, 1))), planner.WithSeed(epoch)),
 	}
 	for _, opt := range opts {
--- a/internal/expert/coordinator/coordinator_test.go
+++ b/internal/expert/coordinator/coordinator_test.go
@@ -417,3 +417,42 @@
 		}
 	})
 }
+
+// While another group of its lane moves, a group keeps its map.
+func TestMoveWaitsForItsLane(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(1)
+		b.mu.Lock()
+		b.faulty = false
+		b.mu.Unlock()
+		time.Sleep(time.Second)
+		free := false
+		lane := func(context.Context, time.Duration) (func(), error) {
+			if !free {
+				return nil, errors.New("lane is taken")
+			}
+			return func() {}, nil
+		}
+		lead := New(b.group, 1, b, WithLane(lane))
+		c.Assert(lead.round(t.Context()), qt.IsNil)
+		for n := range uint64(40) {
+			c.Assert(b.step(t.Context(), n+1), qt.IsTrue)
+		}
+		lead.nextPlan = time.Time{}
+		c.Assert(lead.round(t.Context()), qt.IsNil)
+		history := lead.GetHistory()
+		c.Assert(history[len(history)-1].Outcome, qt.Equals, "postponed: lane is taken")
+		free = true
+		for n := range uint64(40) {
+			c.Assert(b.step(t.Context(), n+41), qt.IsTrue)
+		}
+		lead.nextPlan = time.Time{}
+		c.Assert(lead.round(t.Context()), qt.IsNil)
+		history = lead.GetHistory()
+		c.Assert(history[len(history)-1].Outcome, qt.Equals, "in_force")
+		for _, m := range b.members {
+			m.cancel()
+		}
+	})
+}
--- a/internal/expert/coordinator/rebalance.go
+++ b/internal/expert/coordinator/rebalance.go
@@ -46,9 +46,16 @@
 		c.addHistory(ch)
 		return nil
 	}
+	ch.Bytes = int64(d.Moved) * c.group.ExpertBytes
+	leave, err := c.enterLane(ctx, c.moveTime(ch.Bytes))
+	if err != nil {
+		ch.Outcome = "postponed: " + err.Error()
+		c.addHistory(ch)
+		return nil
+	}
+	defer leave()
 	next := &planner.Map{Version: c.newVersion(), Layers: d.Layers}
 	ch.Version = next.Version
-	ch.Bytes = int64(d.Moved) * c.group.ExpertBytes
 	hold, err := c.change(ctx, next)
 	ch.Outcome, ch.Hold = "in_force", hold
 	if err != nil {
@@ -168,6 +175,13 @@
 	}
 }
 
+// moveTime bounds the time of a move: twice that of its bytes at the budget, and
+// some for the decision.
+func (c *Coordinator) moveTime(size int64) time.Duration {
+	const decision = 30 * time.Second
+	return decision + time.Duration(2*float64(size)/float64(c.group.CopyRate)*float64(time.Second))
+}
+
 // decideMap plans from a map, or anew for a group whose shape has changed.
 func (c *Coordinator) decideMap(m *planner.Map) *planner.Decision {
 	if c.fits(m) {
--- a/internal/platform/leaser/leaser.go
+++ b/internal/platform/leaser/leaser.go
@@ -74,6 +74,13 @@
 	return l.write(ctx)
 }
 
+// Release gives the lease up before its time. An error only means that others
+// wait until it lapses.
+func (l *Lease) Release(ctx context.Context) error {
+	l.ttl = 0
+	return l.write(ctx)
+}
+
 func (l *Lease) write(ctx context.Context) error {
 	start := time.Now()
 	body, err := json.Marshal(record{Holder: l.holder, Fence: l.fence, Expires: start.Add(l.ttl).UTC()})
--- a/internal/platform/leaser/leaser_test.go
+++ b/internal/platform/leaser/leaser_test.go
@@ -64,3 +64,16 @@
 		c.Assert(storer.IsErrConflict(err), qt.IsFalse)
 	})
 }
+
+func TestReleasedLeaseIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := keeper.NewDirect(1)
+		first, err := Acquire(t.Context(), store, "sweep", "a", ttl)
+		c.Assert(err, qt.IsNil)
+		c.Assert(first.Release(t.Context()), qt.IsNil)
+		c.Assert(first.Check(), qt.ErrorIs, ErrLapsed)
+		_, err = Acquire(t.Context(), store, "sweep", "b", ttl)
+		c.Assert(err, qt.IsNil)
+	})
+}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -68,8 +68,10 @@
 // Picker chooses among a set of backend servers; it is safe for concurrent use.
 type Picker struct {
 	zone string
-	// hop is the one-way latency to another availability zone.
+	// hop is the one-way latency to other availability zones, but for those in
+	// hops.
 	hop  time.Duration
+	hops map[string]time.Duration
 	way  Way
 	next atomic.Uint64
 	// meanOthers is the smoothed load by other entries for each slot, as float
@@ -90,9 +92,25 @@
 	return func(p *Picker) { p.zone, p.hop = zone, hop }
 }
 
+// WithHop sets the one-way latency to one availability zone.
+func WithHop(zone string, hop time.Duration) Option {
+	return func(p *Picker) { p.hops[zone] = hop }
+}
+
+// getHop is the one-way latency to a zone.
+func (p *Picker) getHop(zone string) time.Duration {
+	if zone == p.zone {
+		return 0
+	}
+	if hop, ok := p.hops[zone]; ok {
+		return hop
+	}
+	return p.hop
+}
+
 // New returns a Picker.
 func New(opts ...Option) *Picker {
-	p := &Picker{way: ExpectedCompletion{Candidates: 2}}
+	p := &Picker{way: ExpectedCompletion{Candidates: 2}, hops: make(map[string]time.Duration)}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -287,10 +305,7 @@
 	run := service * (1 - prefixGain*max(b.cached(d.Prefix, now), prior))
 	// Below the limit, a fuller engine still steps slower.
 	run *= 1 + fullSlowdown*min(load/slots, 1)
-	score := (rounds*service + run) / b.warmth(now)
-	if b.Zone != p.zone {
-		score += 2 * p.hop.Seconds()
-	}
+	score := (rounds*service+run)/b.warmth(now) + 2*p.getHop(b.Zone).Seconds()
 	return score * (1 + failurePenalty*b.GetFailures())
 }
 
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -77,6 +77,8 @@
 	c.Assert(near.Pick(set, Demand{Now: now}), qt.Equals, set[1])
 	far := New(manyCandidates, WithZone("z", 100*time.Microsecond))
 	c.Assert(far.Pick(set, Demand{Now: now}), qt.Equals, set[0])
+	region := New(manyCandidates, WithZone("z", 100*time.Microsecond), WithHop("other", 100*time.Millisecond))
+	c.Assert(region.Pick(set, Demand{Now: now}), qt.Equals, set[1])
 }
 
 func TestNewBackendTakesUpItsShareSlowly(t *testing.T) {
--- a/internal/routing/tracker/tracker.go
+++ b/internal/routing/tracker/tracker.go
@@ -43,7 +43,8 @@
 	mu     sync.Mutex
 	status *encoder.AgentStatus
 	heard  time.Time
-	// lost is closed when heartbeats are missing, and replaced when they return.
+	// lost is closed when heartbeats are missing or the group has stalled, and
+	// replaced when that is over.
 	lost chan struct{}
 	// isLost says that lost is closed.
 	isLost bool
@@ -52,7 +53,8 @@
 	cancel        context.CancelFunc
 }
 
-// Lost returns a channel that closes when the agent's heartbeats are missing.
+// Lost returns a channel that closes when no answer can be expected: the agent's
+// heartbeats are missing, or its group makes no steps.
 func (t *Target) Lost() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -356,10 +358,7 @@
 	known := t.status.GetService() == status.GetService() && t.status != nil
 	t.status = status
 	t.heard = time.Now()
-	if t.isLost {
-		t.isLost = false
-		t.lost = make(chan struct{})
-	}
+	t.setLost(status.GetGroupStalled())
 	t.SetReport(picker.Report{
 		Running: int(status.GetRunning()), Queued: int(status.GetQueued()), Concurrency: int(status.GetConcurrency()),
 		Service: time.Duration(status.GetServiceTimeMicros()) * time.Microsecond,
@@ -374,10 +373,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.SetAvailable(false)
-	if !t.isLost {
-		t.isLost = true
+	t.setLost(true)
+}
+
+// setLost tells those who wait for an answer whether one can be expected; mu is
+// held. A group that makes no steps answers as little as an agent that is gone.
+func (t *Target) setLost(lost bool) {
+	switch {
+	case lost && !t.isLost:
 		close(t.lost)
+	case !lost && t.isLost:
+		t.lost = make(chan struct{})
 	}
+	t.isLost = lost
 }
 
 // GetAddresses returns the addresses of instances.
--- a/internal/routing/tracker/subset_test.go
+++ b/internal/routing/tracker/tracker_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/routing/picker"
+	"siskinfall/internal/wire/encoder"
 )
 
 func newAgents(n int, zone string) []storer.Instance {
@@ -37,6 +41,21 @@
 	}
 }
 
+// A stalled group's requests move on, and the group is back with its steps.
+func TestStalledGroupCountsAsLost(t *testing.T) {
+	c := qt.New(t)
+	target := &Target{Backend: picker.NewBackend("a", netip.AddrPort{}, "z", time.Now()), lost: make(chan struct{})}
+	target.setStatus(&encoder.AgentStatus{Ready: true})
+	c.Assert(target.IsAvailable(), qt.IsTrue)
+	lost := target.Lost()
+	target.setStatus(&encoder.AgentStatus{Ready: true, GroupStalled: true})
+	<-lost
+	c.Assert(target.IsAvailable(), qt.IsFalse)
+	target.setStatus(&encoder.AgentStatus{Ready: true})
+	c.Assert(target.IsAvailable(), qt.IsTrue)
+	c.Assert(target.Lost(), qt.Not(qt.Equals), lost)
+}
+
 func TestSubsetIsStable(t *testing.T) {
 	c := qt.New(t)
 	before := rankByHash("entry", newAgents(40, "b"))[:4]
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -47,7 +47,7 @@
 	// SeedPeers need not live; the first that answers is used.
 	SeedPeers     []netip.AddrPort `yaml:"seed_peers" comment:"entry instances to ask while the platform is down"`
 	ZoneHop       time.Duration    `yaml:"zone_hop" validate:"min=0,max=1s" comment:"one-way latency between availability zones"`
-	ClientHop     time.Duration    `yaml:"client_hop" validate:"min=0,max=1s" comment:"one-way latency to clients"`
+	Hops          []Hop            `yaml:"hops" validate:"dive" comment:"latencies to zones that differ from zone_hop, as those of another region"`
 	Candidates    int              `yaml:"candidates" validate:"min=1,max=64" comment:"backend servers compared for one request"`
 	RemoteAgents  int              `yaml:"remote_agents" validate:"min=0,max=1024" comment:"agents watched in each other availability zone; 0 watches all"`
 	OperatorKeys  []OperatorKey    `yaml:"operator_keys" validate:"dive" comment:"keys of operators; without any, only loopback may operate"`
@@ -55,6 +55,12 @@
 	ExplainRecent int              `yaml:"explain_recent" validate:"min=16,max=100000" comment:"requests kept for explain"`
 }
 
+// Hop is the latency to one availability zone.
+type Hop struct {
+	Zone   string        `yaml:"availability_zone" validate:"required" comment:"the other availability zone"`
+	OneWay time.Duration `yaml:"one_way" validate:"min=0,max=10s" comment:"one-way latency"`
+}
+
 // OperatorKey is a key of an operator, kept as a hash.
 type OperatorKey struct {
 	Name string `yaml:"name" validate:"required" comment:"name of the operator"`
@@ -97,7 +103,7 @@
 			Heartbeat:     time.Second,
 			SeedPeers:     []netip.AddrPort{},
 			ZoneHop:       500 * time.Microsecond,
-			ClientHop:     time.Millisecond,
+			Hops:          []Hop{},
 			Candidates:    2,
 			RemoteAgents:  0,
 			OperatorKeys:  []OperatorKey{},
