--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -86,10 +86,10 @@
 		tracker.WithStatus(s.agentReported),
 	)
 	newPicker := func() *picker.Picker {
-		opts := []picker.Option{
+		opts := append(make([]picker.Option, 0, 2+len(cfg.Entry.Hops)),
 			picker.WithZone(cfg.Zone, cfg.Entry.ZoneHop),
 			picker.WithWay(picker.ExpectedCompletion{Candidates: cfg.Entry.Candidates}),
-		}
+		)
 		for _, h := range cfg.Entry.Hops {
 			opts = append(opts, picker.WithHop(h.Zone, h.OneWay))
 		}
