Measure the path with processes of its own; headroom for the collector

Cause: in one process with its clients the path's tail was that of a shared collector; and with little live memory the collector ran over ten times a second. Change: both paths run as two processes each before one engine process; the collector keeps 16 MB of headroom while less is live. Ruled out: a larger fixed setting, which would break the 64 MB at the target.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 type args struct {
 	Platform *platformCmd `arg:"subcommand:platform" help:"run the stand-in platform"`
 	Backend  *backendCmd  `arg:"subcommand:backend" help:"run a stand-in backend server"`
+	Hop      *hopCmd      `arg:"subcommand:hop" help:"run a plain HTTP hop, the baseline of measurements"`
 	Capacity *capacityCmd `arg:"subcommand:capacity" help:"measure the slopes of the capacity page"`
 	Bench    *benchCmd    `arg:"subcommand:bench" help:"measure the path and the placement of experts"`
 }
@@ -51,14 +52,22 @@
 type backendCmd struct {
 	Listen     netip.AddrPort `arg:"--listen" default:"127.0.0.1:9100"`
 	TokenDelay time.Duration  `arg:"--token-delay" default:"5ms"`
+	Latency    time.Duration  `arg:"--latency" default:"0s"`
 }
 
 func (c *backendCmd) run() error {
 	crash := func() { os.Exit(3) }
-	s := responder.New(responder.WithCrash(crash), responder.WithFaults(responder.Faults{TokenDelay: c.TokenDelay}))
+	s := responder.New(responder.WithCrash(crash), responder.WithFaults(responder.Faults{TokenDelay: c.TokenDelay, Latency: c.Latency}))
 	return serve(c.Listen, s.Handler())
 }
 
+type hopCmd struct {
+	Listen netip.AddrPort `arg:"--listen,required"`
+	Next   netip.AddrPort `arg:"--next,required"`
+}
+
+func (c *hopCmd) run() error { return bencher.RunHop(c.Listen, c.Next) }
+
 type benchCmd struct {
 	Path    bool   `arg:"--path" help:"measure the path only"`
 	Maps    bool   `arg:"--maps" help:"measure the placement of experts only"`
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -20,6 +20,7 @@
 	entry "siskinfall/internal/entry/server"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/process/tuner"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/wire/connector"
@@ -151,6 +152,7 @@
 	}
 	wg.Go(func() { _ = connector.NewAcceptor(p.hello, p.handle).Serve(ctx, peers) })
 	wg.Go(func() { p.run(ctx) })
+	wg.Go(func() { tuner.Run(ctx) })
 	log.Info("started", "role", p.hello.GetRole(), "peers", peers.Addr(), "admin", cfg.Listen.Admin)
 	<-stop.Graceful.Done()
 	log.Info("stopping", "role", p.hello.GetRole())
--- a/internal/standin/bencher/capacity.go
+++ b/internal/standin/bencher/capacity.go
@@ -229,15 +229,7 @@
 }
 
 func runBusy(s *stage, e, a *measured, tokenRate int) (entry, agent rates, err error) {
-	client := caller.NewClient(e.settings.Listen.Admin, "")
-	err = starter.WaitFor(s.ctx, func() error {
-		var out json.RawMessage
-		return client.Post(s.ctx, "/v1/tickets", []byte(benchTicket), &out)
-	})
-	if err != nil {
-		return entry, agent, err
-	}
-	if err := starter.WaitFor(s.ctx, func() error { return starter.CheckRouted(s.ctx, client, e.settings.Instance, 1) }); err != nil {
+	if err := applyBench(s.ctx, e); err != nil {
 		return entry, agent, err
 	}
 	go pace("busy", e.settings.Listen.Callers, tokenRate/busyTokens, tokenRate/busyTokens*20, newStream)
--- a/internal/standin/bencher/path.go
+++ b/internal/standin/bencher/path.go
@@ -5,19 +5,23 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"os/exec"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/operator/caller"
+	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/standin/checker"
-	"siskinfall/internal/standin/responder"
 	"siskinfall/internal/standin/starter"
 )
 
@@ -43,18 +47,13 @@
 	Failed int
 }
 
-// hop is a plain HTTP hop that decides nothing.
-func hop(next netip.AddrPort) (netip.AddrPort, func(), error) {
-	ln, err := net.Listen("tcp", starter.AnyPort.String())
-	if err != nil {
-		return netip.AddrPort{}, nil, err
-	}
+// RunHop serves a plain HTTP hop that decides nothing.
+func RunHop(addr, next netip.AddrPort) error {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}}
-	srv := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := &http.Server{Addr: addr.String(), ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		forward(client, next, w, r)
 	})}
-	go func() { _ = srv.Serve(ln) }()
-	return ln.Addr().(*net.TCPAddr).AddrPort(), func() { _ = srv.Close() }, nil
+	return srv.ListenAndServe()
 }
 
 func forward(client *http.Client, next netip.AddrPort, w http.ResponseWriter, r *http.Request) {
@@ -80,39 +79,104 @@
 	_, _ = io.Copy(w, resp.Body)
 }
 
-// startPaths starts the product's path and the baseline before equal engines.
-func startPaths(latency time.Duration) (product, baseline netip.AddrPort, stop func(), err error) {
-	fleet, err := starter.New(starter.WithSettings(func(cfg *loader.Settings) { cfg.Agent.Concurrency = 4 * pathClients }))
+// paths is the product's path and the baseline, each of two processes, before
+// one engine process.
+type paths struct {
+	*stage
+	product, baseline netip.AddrPort
+	procs             []*exec.Cmd
+	measured          []*measured
+}
+
+func (p *paths) stop() {
+	for _, cmd := range p.procs {
+		_ = cmd.Process.Kill()
+		_, _ = cmd.Process.Wait()
+	}
+	for _, m := range p.measured {
+		m.stop()
+	}
+	p.close()
+}
+
+// startSelf starts this program with a subcommand that listens on an address of
+// its own.
+func (p *paths) startSelf(args ...string) (netip.AddrPort, error) {
+	addr, err := starter.FreePort()
 	if err != nil {
-		return product, baseline, nil, err
+		return addr, err
 	}
-	entry, err := fleet.AddEntry("entry-1", "zone-a")
+	self, err := os.Executable()
 	if err != nil {
-		return product, baseline, nil, err
+		return addr, wrapper.At("find_program", "", err)
 	}
-	agent, err := fleet.AddAgent("agent-1", "zone-a", "assistant-llm", "", responder.Faults{Latency: latency})
+	cmd := exec.Command(self, append(args, "--listen", addr.String())...)
+	if err := cmd.Start(); err != nil {
+		return addr, wrapper.At("start", args[0], err)
+	}
+	p.procs = append(p.procs, cmd)
+	return addr, nil
+}
+
+// startPaths starts both paths.
+func startPaths(latency time.Duration) (*paths, error) {
+	s, err := newStage()
 	if err != nil {
-		return product, baseline, nil, err
+		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	if err := fleet.ApplyAndWait(ctx, "entry-1", benchTicket, 1); err != nil {
-		return product, baseline, nil, err
+	p := &paths{stage: s}
+	if err := p.start(latency); err != nil {
+		p.stop()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *paths) start(latency time.Duration) error {
+	backend, err := p.startSelf("backend", "--token-delay", "0s", "--latency", latency.String())
+	if err != nil {
+		return err
+	}
+	second, err := p.startSelf("hop", "--next", backend.String())
+	if err != nil {
+		return err
+	}
+	if p.baseline, err = p.startSelf("hop", "--next", second.String()); err != nil {
+		return err
+	}
+	cfg, err := newMeasuredSettings("agent-1", "zone-a", p.platform)
+	if err != nil {
+		return err
 	}
-	second, stopSecond, err := hop(agent.Backend.Addr())
+	cfg.Agent.Service, cfg.Agent.Backend, cfg.Agent.Concurrency = "assistant-llm", backend, 4*pathClients
+	a, err := startMeasured(tracker.RoleAgent, cfg)
 	if err != nil {
-		return product, baseline, nil, err
+		return err
 	}
-	first, stopFirst, err := hop(second)
+	p.measured = append(p.measured, a)
+	p.keeper.SetInstance(storer.Instance{Name: cfg.Instance, Role: tracker.RoleAgent, Zone: cfg.Zone, Address: cfg.Listen.Peers})
+	e, err := p.startEntry()
 	if err != nil {
-		return product, baseline, nil, err
+		return err
 	}
-	stop = func() {
-		stopFirst()
-		stopSecond()
-		fleet.Close()
+	p.measured = append(p.measured, e)
+	p.product = e.settings.Listen.Callers
+	return applyBench(p.ctx, e)
+}
+
+// applyBench configures an entry for measurement and waits for its agent.
+func applyBench(ctx context.Context, e *measured) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	client := caller.NewClient(e.settings.Listen.Admin, "")
+	err := starter.WaitFor(ctx, func() error {
+		var out json.RawMessage
+		return client.Post(ctx, "/v1/tickets", []byte(benchTicket), &out)
+	})
+	if err != nil {
+		return err
 	}
-	return entry.Settings.Listen.Callers, first, stop, nil
+	return starter.WaitFor(ctx, func() error { return starter.CheckRouted(ctx, client, e.settings.Instance, 1) })
 }
 
 var benchTicket = fmt.Sprintf(`number: 1
@@ -215,11 +279,12 @@
 }
 
 func writePath(w io.Writer, name string, latency time.Duration) error {
-	product, baseline, stop, err := startPaths(latency)
+	p, err := startPaths(latency)
 	if err != nil {
 		return err
 	}
-	defer stop()
+	defer p.stop()
+	product, baseline := p.product, p.baseline
 	call := func(i int) checker.Call {
 		return checker.Call{Kind: checker.KindWhole, Service: "assistant-llm", Payload: fmt.Sprint("prompt ", i), Tokens: 20}
 	}
