--- a/internal/entry/server/tickets.go
+++ b/internal/entry/server/tickets.go
@@ -135,6 +135,10 @@
 func (s *Server) waitInForce(ctx context.Context, entities []*encoder.Entity, limit time.Duration) []string {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	// Instances that came since the latest poll count too.
+	if list, err := s.platform.ListInstances(ctx); err == nil {
+		s.tracker.SetInstances(s.background, list)
+	}
 	for {
 		var lagging []string
 		for _, a := range s.askAll(ctx, &encoder.StatusQuery{}) {
--- a/internal/routing/picker/table_test.go
+++ b/internal/routing/picker/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -161,7 +160,7 @@
 		if l := f.find(b).GetLoad(); true {
 			b.SetLoad(l.Running+l.Waiting, time.Now())
 		}
-		b.Finish(errors.Is(err, context.DeadlineExceeded))
+		b.Finish(false)
 		if err == nil || ctx.Err() != nil {
 			break
 		}
--- a/internal/standin/starter/fleet_test.go
+++ b/internal/standin/starter/fleet_test.go
@@ -167,6 +167,26 @@
 	c.Assert(err, qt.IsNil)
 }
 
+// Waiting for a ticket counts instances that came since the list was read.
+func TestWaitCountsInstancesThatHaveJustCome(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1, 0, WithSettings(func(cfg *loader.Settings) { cfg.Entry.PollInterval = time.Minute }))
+	late, err := f.AddEntry("entry-late", "zone-1")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	c.Assert(f.WaitRouted(ctx, late, 0), qt.IsNil)
+	var result entry.TicketResult
+	c.Assert(f.admin("entry-0").Post(ctx, "/v1/tickets?wait=30s", []byte(fleetTicket(2, "20s")), &result), qt.IsNil)
+	c.Assert(result.Lagging, qt.HasLen, 0)
+	var v entry.ConfigView
+	c.Assert(f.admin("entry-late").Get(ctx, "/v1/config", &v), qt.IsNil)
+	for _, e := range v.Entities {
+		c.Assert(e.Number, qt.Equals, uint64(2))
+	}
+	c.Assert(v.Entities, qt.Not(qt.HasLen), 0)
+}
+
 // A leaving agent takes nothing new by any of three words: its own, the list's,
 // or its silence.
 func TestLeavingAgentGetsNothingNew(t *testing.T) {
