Pause real agents in the process test

Cause: pauses of real processes were not proved. Change: after each kill the agent is stopped with SIGSTOP until both entries have given it up, and let go on, under load.

--- a/internal/process/launcher/process_test.go
+++ b/internal/process/launcher/process_test.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 	"go.yaml.in/yaml/v3"
 
+	entry "siskinfall/internal/entry/server"
 	"siskinfall/internal/operator/caller"
 	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/routing/tracker"
@@ -300,6 +301,33 @@
 	f.run(name, "siskinfall", role, "--settings", filepath.Join(f.dir, name+".yaml"))
 }
 
+// pause stops a process until both entries have given it up, and lets it go on.
+func (f *fleet) pause(name string) {
+	cmd := f.procs[name]
+	f.Assert(cmd.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+	for _, entry := range []string{"entry-1", "entry-2"} {
+		f.wait(func() error { return f.checkGivenUp(entry, name) })
+	}
+	f.Assert(cmd.Process.Signal(syscall.SIGCONT), qt.IsNil)
+	f.waitRouted("entry-1", 3)
+	f.waitRouted("entry-2", 3)
+}
+
+// checkGivenUp returns an error while an entry routes to an agent.
+func (f *fleet) checkGivenUp(entryName, agent string) error {
+	var v entry.StatusView
+	client := caller.NewClient(f.settings[entryName].Listen.Admin, "")
+	if err := client.Get(context.Background(), "/v1/status", &v); err != nil {
+		return err
+	}
+	for _, a := range v.Agents {
+		if a.Instance == agent && a.Available {
+			return fmt.Errorf("%s still routes to %s", entryName, agent)
+		}
+	}
+	return nil
+}
+
 // sendUntil sends streams and orders through both entries until stop closes.
 func (f *fleet) sendUntil(stop <-chan struct{}, check *checker.Checker, id int) {
 	for n := 0; ; n++ {
@@ -316,9 +344,10 @@
 	}
 }
 
-// TestKilledProcesses kills both entries of the zone, then every agent in turn,
-// under load: callers get answers, truthful refusals or broken connections.
-func TestKilledProcesses(t *testing.T) {
+// TestKilledAndPausedProcesses kills both entries of the zone, then kills and
+// pauses every agent in turn, under load: callers get answers, truthful refusals
+// or broken connections.
+func TestKilledAndPausedProcesses(t *testing.T) {
 	c := qt.New(t)
 	f := startFleet(c)
 	check := &checker.Checker{}
@@ -336,6 +365,7 @@
 		f.kill(name, tracker.RoleAgent)
 		f.waitRouted("entry-1", 3)
 		f.waitRouted("entry-2", 3)
+		f.pause(name)
 	}
 	close(stop)
 	wg.Wait()
