--- a/internal/expert/coordinator/coordinator_test.go
+++ b/internal/expert/coordinator/coordinator_test.go
@@ -114,6 +114,16 @@
 	return b
 }
 
+// newSoundBench returns a group without faults whose agents know their engines.
+func newSoundBench() *bench {
+	b := newBench(1)
+	b.mu.Lock()
+	b.faulty = false
+	b.mu.Unlock()
+	time.Sleep(time.Second)
+	return b
+}
+
 // startAgent replaces a member's agent by one without memory.
 func (b *bench) startAgent(m *member) {
 	b.mu.Lock()
@@ -367,12 +377,8 @@
 func TestDecisionStandsWhenNobodyHeardIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		b := newBench(1)
-		b.mu.Lock()
-		b.faulty = false
-		b.mu.Unlock()
+		b := newSoundBench()
 		ctx := t.Context()
-		time.Sleep(time.Second)
 		net := &scripted{bench: b, lose: func(*encoder.GroupOrder) bool { return false }}
 		lead := New(b.group, 1, net)
 		c.Assert(lead.round(ctx), qt.IsNil)
@@ -396,11 +402,7 @@
 func TestNewShapeGetsANewMap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		b := newBench(1)
-		b.mu.Lock()
-		b.faulty = false
-		b.mu.Unlock()
-		time.Sleep(time.Second)
+		b := newSoundBench()
 		c.Assert(New(b.group, 1, b).round(t.Context()), qt.IsNil)
 		c.Assert(b.step(t.Context(), 1), qt.IsTrue)
 		larger := *b.group
@@ -422,11 +424,7 @@
 func TestMoveWaitsForItsLane(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		b := newBench(1)
-		b.mu.Lock()
-		b.faulty = false
-		b.mu.Unlock()
-		time.Sleep(time.Second)
+		b := newSoundBench()
 		free := false
 		lane := func(context.Context, time.Duration) (func(), error) {
 			if !free {
--- a/internal/expert/planner/plan.go
+++ b/internal/expert/planner/plan.go
@@ -169,12 +169,12 @@
 	}
 	sort.SliceStable(pairs, func(i, j int) bool { return pairs[i].common > pairs[j].common })
 	out := make(Layer, len(next))
-	fromDone, toDone := make([]bool, l.Ranks), make([]bool, l.Ranks)
+	fromUsed, toUsed := make([]bool, l.Ranks), make([]bool, l.Ranks)
 	for _, p := range pairs {
-		if fromDone[p.from] || toDone[p.to] {
+		if fromUsed[p.from] || toUsed[p.to] {
 			continue
 		}
-		fromDone[p.from], toDone[p.to] = true, true
+		fromUsed[p.from], toUsed[p.to] = true, true
 		copy(out[p.to*l.SlotsPerRank:(p.to+1)*l.SlotsPerRank], next[p.from*l.SlotsPerRank:(p.from+1)*l.SlotsPerRank])
 	}
 	return out
