Cut availability zones from each other in tests

Cause: only single processes were cut, not zones. Change: the fleet's processes open connections through a network that cuts zones; a test of its own, and cuts in the randomised run. Measured: both sides serve, and equal after the cut.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -62,8 +62,9 @@
 	drainer.Gate
 }
 
-// New returns a Server; ctx bounds its background work.
-func New(ctx context.Context, cfg *loader.Settings, incarnation uint64, p storer.Platform) *Server {
+// New returns a Server; ctx bounds its background work, opts configure its
+// sessions.
+func New(ctx context.Context, cfg *loader.Settings, incarnation uint64, p storer.Platform, opts ...connector.Option) *Server {
 	s := &Server{
 		cfg: cfg, incarnation: incarnation, platform: p, background: ctx,
 		book:       registrar.NewBook(),
@@ -76,7 +77,7 @@
 		burn:       burner.NewCounter(),
 	}
 	s.plan.Store(aggregator.NewPlan([]storer.Instance{s.self()}))
-	s.pool = connector.NewPool(s.hello())
+	s.pool = connector.NewPool(s.hello(), opts...)
 	s.reader = registrar.NewReader(s.registry, s.book)
 	s.spreader = spreader.New(s.book, s.pool, cfg.Instance)
 	s.tracker = tracker.New(cfg.Instance, cfg.Zone, s.pool, p,
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -105,10 +105,10 @@
 	drainTimeout time.Duration
 }
 
-// RunEntry runs an entry instance until stop.
-func RunEntry(stop Stop, cfg *loader.Settings) error {
+// RunEntry runs an entry instance until stop; opts configure its sessions.
+func RunEntry(stop Stop, cfg *loader.Settings, opts ...connector.Option) error {
 	return runProcess(stop, cfg, func(ctx context.Context, incarnation uint64, p storer.Platform) *process {
-		s := entry.New(ctx, cfg, incarnation, p)
+		s := entry.New(ctx, cfg, incarnation, p, opts...)
 		return &process{
 			hello: s.Hello(), callers: s.CallersHandler(), admin: s.AdminHandler(), handle: s.Handle,
 			run: s.Run, drain: s.Drain, drainTimeout: cfg.Entry.DrainTimeout,
@@ -116,13 +116,13 @@
 	})
 }
 
-// RunAgent runs an agent until stop.
-func RunAgent(stop Stop, cfg *loader.Settings) error {
+// RunAgent runs an agent until stop; opts configure its sessions.
+func RunAgent(stop Stop, cfg *loader.Settings, opts ...connector.Option) error {
 	return runProcess(stop, cfg, func(ctx context.Context, incarnation uint64, p storer.Platform) *process {
 		hello := &encoder.Hello{
 			Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: tracker.RoleAgent, Incarnation: incarnation,
 		}
-		pool := connector.NewPool(hello)
+		pool := connector.NewPool(hello, opts...)
 		context.AfterFunc(ctx, pool.Close)
 		s := agent.New(ctx, cfg, incarnation, p, pool)
 		return &process{
--- a/internal/standin/checker/randomised_test.go
+++ b/internal/standin/checker/randomised_test.go
@@ -221,7 +221,7 @@
 		d := time.Duration(50+rng.IntN(250)) * time.Millisecond
 		backend := w.backends[rng.IntN(len(w.backends))]
 		name := []string{"llm-a0", "llm-b1", "desk-a0", "desk-a1", "desk-b0", "entry-a", "entry-b"}[rng.IntN(7)]
-		switch rng.IntN(9) {
+		switch rng.IntN(10) {
 		case 0:
 			w.setFor(keeper.Faults{Down: true}, d)
 		case 1:
@@ -232,6 +232,10 @@
 			backend.SetFaults(responder.Faults{BreakAfter: 1 + rng.IntN(10), TokenDelay: slow.TokenDelay})
 			pause(d)
 			backend.SetFaults(slow)
+		case 9:
+			w.CutZones("zone-a", "zone-b")
+			pause(d)
+			w.HealZones()
 		case 8:
 			backend.SetFaults(responder.Faults{EndAfter: 1 + rng.IntN(5), TokenDelay: slow.TokenDelay})
 			pause(d)
--- a/internal/standin/starter/fleet_test.go
+++ b/internal/standin/starter/fleet_test.go
@@ -221,8 +221,12 @@
 }
 
 func (f *Fleet) checkUnavailable(ctx context.Context, agent string) error {
+	return f.checkUnavailableAt(ctx, "entry-0", agent)
+}
+
+func (f *Fleet) checkUnavailableAt(ctx context.Context, entryName, agent string) error {
 	var v entry.StatusView
-	if err := f.admin("entry-0").Get(ctx, "/v1/status", &v); err != nil {
+	if err := f.admin(entryName).Get(ctx, "/v1/status", &v); err != nil {
 		return err
 	}
 	for _, a := range v.Agents {
@@ -274,3 +278,59 @@
 	c.Assert(t2.Err, qt.IsNotNil)
 	c.Assert(strings.Contains(t2.Body, "event: error"), qt.IsTrue)
 }
+
+// numberAt returns the number of the service's state at an entry instance.
+func (f *Fleet) numberAt(ctx context.Context, c *qt.C, name string) uint64 {
+	var v entry.ConfigView
+	c.Assert(f.admin(name).Get(ctx, "/v1/config", &v), qt.IsNil)
+	for _, e := range v.Entities {
+		if e.Entity == "service/assistant-llm" {
+			return e.Number
+		}
+	}
+	return 0
+}
+
+// Zones that are cut off from each other each serve what they can; what one side
+// accepted meanwhile is in force on both after the cut, and never reverts.
+func TestZonesCutOffServeAndHeal(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1, 4, WithSettings(func(cfg *loader.Settings) {
+		if cfg.Instance == "entry-1" {
+			// It learns from peers alone once it has started.
+			cfg.Entry.PollInterval = time.Hour
+		}
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	// It starts when all others are listed, since it reads the list only once.
+	slow, err := f.AddEntry("entry-1", "zone-1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(f.WaitRouted(ctx, slow, 4), qt.IsNil)
+	client := checker.NewClient(DemoKey)
+	f.CutZones("zone-0", "zone-1")
+	for agent, entryName := range map[string]string{"agent-1": "entry-0", "agent-0": "entry-1"} {
+		c.Assert(WaitFor(ctx, func() error { return f.checkUnavailableAt(ctx, entryName, agent) }), qt.IsNil)
+	}
+	var result entry.TicketResult
+	c.Assert(f.admin("entry-0").Post(ctx, "/v1/tickets", []byte(fleetTicket(2, "20s")), &result), qt.IsNil)
+	for i := range 20 {
+		for _, name := range []string{"entry-0", "entry-1"} {
+			told := client.Do(ctx, f.callers(name), stream(fmt.Sprint(name, i), 3))
+			c.Assert(told.IsAnswered(), qt.IsTrue, qt.Commentf("%s: %+v", name, told))
+		}
+	}
+	c.Assert(f.numberAt(ctx, c, "entry-0"), qt.Equals, uint64(2))
+	c.Assert(f.numberAt(ctx, c, "entry-1"), qt.Equals, uint64(1))
+	f.HealZones()
+	c.Assert(WaitFor(ctx, func() error {
+		if n := f.numberAt(ctx, c, "entry-1"); n != 2 {
+			return fmt.Errorf("number %d", n)
+		}
+		return nil
+	}), qt.IsNil)
+	for _, name := range []string{"entry-0", "entry-1"} {
+		c.Assert(f.WaitRouted(ctx, f.Processes[name], 4), qt.IsNil)
+		c.Assert(client.Do(ctx, f.callers(name), stream("after", 3)).IsAnswered(), qt.IsTrue)
+	}
+}
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -22,6 +22,7 @@
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
+	"siskinfall/internal/wire/connector"
 )
 
 var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
@@ -91,6 +92,7 @@
 	server    *http.Server
 	adjust    func(*loader.Settings)
 	advertise func(name string, addr netip.AddrPort) netip.AddrPort
+	network   *network
 	wg        sync.WaitGroup
 }
 
@@ -117,6 +119,7 @@
 	f := &Fleet{
 		Keeper: keeper.New(), Platform: ln.Addr().(*net.TCPAddr).AddrPort(), Processes: make(map[string]*Process),
 		adjust:    func(*loader.Settings) {},
+		network:   newNetwork(),
 		advertise: func(_ string, addr netip.AddrPort) netip.AddrPort { return addr },
 	}
 	for _, opt := range opts {
@@ -179,12 +182,13 @@
 	}
 	f.wg.Go(func() {
 		defer close(p.done)
-		p.err = run(launcher.Stop{Graceful: graceful, Forced: forced}, cfg)
+		p.err = run(launcher.Stop{Graceful: graceful, Forced: forced}, cfg, connector.WithDial(f.network.newDial(cfg.Zone)))
 		if p.err != nil {
 			log.Debug("process ended", "instance", cfg.Instance, "error", p.err)
 		}
 	})
 	f.Processes[cfg.Instance] = p
+	f.network.setZone(cfg.Listen.Peers, cfg.Zone)
 	f.Keeper.SetInstance(storer.Instance{Name: cfg.Instance, Role: role, Zone: cfg.Zone, Address: f.advertise(cfg.Instance, cfg.Listen.Peers)})
 	return p
 }
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -111,8 +111,9 @@
 
 // Pool dials peers and keeps one session to each.
 type Pool struct {
-	own *encoder.Hello
-	mu  sync.Mutex
+	own  *encoder.Hello
+	dial DialFunc
+	mu   sync.Mutex
 	// links holds at most one entry for each address.
 	links  map[netip.AddrPort]*link
 	closed bool
@@ -128,9 +129,27 @@
 	used time.Time
 }
 
+// DialFunc opens a connection to a peer.
+type DialFunc func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithDial sets what opens connections, for tests that cut them.
+func WithDial(f DialFunc) Option { return func(p *Pool) { p.dial = f } }
+
 // NewPool returns a Pool that introduces itself with own.
-func NewPool(own *encoder.Hello) *Pool {
-	return &Pool{own: own, links: make(map[netip.AddrPort]*link)}
+func NewPool(own *encoder.Hello, opts ...Option) *Pool {
+	p := &Pool{own: own, dial: dialTCP, links: make(map[netip.AddrPort]*link)}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{Timeout: handshakeTimeout}
+	return d.DialContext(ctx, "tcp", addr.String())
 }
 
 // Open opens a stream to addr and sends its first frame.
@@ -246,7 +265,7 @@
 	if l.session != nil && !l.session.IsClosed() {
 		return l.session, l.hello, nil
 	}
-	session, hello, err := dial(ctx, addr, p.own)
+	session, hello, err := p.connect(ctx, addr)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -254,13 +273,12 @@
 	return session, hello, nil
 }
 
-func dial(ctx context.Context, addr netip.AddrPort, own *encoder.Hello) (*yamux.Session, *encoder.Hello, error) {
-	d := net.Dialer{Timeout: handshakeTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr.String())
+func (p *Pool) connect(ctx context.Context, addr netip.AddrPort) (*yamux.Session, *encoder.Hello, error) {
+	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, nil, err
 	}
-	hello, err := handshake(conn, own, true)
+	hello, err := handshake(conn, p.own, true)
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, wrapper.At("handshake", addr.String(), err)
