One ticket for tests and measurements

Cause: the same ticket stood three times with other numbers. Change: starter.Services makes it from what differs; no setting changed.

--- a/internal/process/launcher/process_test.go
+++ b/internal/process/launcher/process_test.go
@@ -379,24 +379,4 @@
 	c.Assert(summary.Answered > 0, qt.IsTrue)
 }
 
-var processTicket = fmt.Sprintf(`number: 1
-author: test
-client_accounts:
-  - {name: caller, key_sha256: [%s], class: field, weight: 1}
-services:
-  - name: assistant-llm
-    kind: model
-    timeout: 60s
-    attempts: 5
-    retry_budget: 0.5
-    execution_retention: 1h
-    objective: {availability: 0.99, first_byte: 1s}
-  - name: member-desk
-    kind: plain
-    path_prefix: /desk/
-    timeout: 10s
-    attempts: 5
-    retry_budget: 0.5
-    execution_retention: 1h
-    objective: {availability: 0.99, first_byte: 1s}
-`, starter.HashKey(starter.DemoKey))
+var processTicket = starter.Services{ModelTimeout: time.Minute, DeskTimeout: 10 * time.Second, Attempts: 5, RetryBudget: 0.5}.Ticket()
--- a/internal/standin/bencher/path.go
+++ b/internal/standin/bencher/path.go
@@ -179,27 +179,7 @@
 	return starter.WaitFor(ctx, func() error { return starter.CheckRouted(ctx, client, e.settings.Instance, 1) })
 }
 
-var benchTicket = fmt.Sprintf(`number: 1
-author: bench
-client_accounts:
-  - {name: caller, key_sha256: [%s], class: field, weight: 1}
-services:
-  - name: assistant-llm
-    kind: model
-    timeout: 30s
-    attempts: 3
-    retry_budget: 0.2
-    execution_retention: 1h
-    objective: {availability: 0.99, first_byte: 1s}
-  - name: member-desk
-    kind: plain
-    path_prefix: /desk/
-    timeout: 10s
-    attempts: 3
-    retry_budget: 0.2
-    execution_retention: 1h
-    objective: {availability: 0.99, first_byte: 1s}
-`, starter.HashKey(starter.DemoKey))
+var benchTicket = starter.Services{ModelTimeout: 30 * time.Second, DeskTimeout: 10 * time.Second, Attempts: 3, RetryBudget: 0.2}.Ticket()
 
 // meter collects results of concurrent requests.
 type meter struct {
--- a/internal/standin/checker/randomised_test.go
+++ b/internal/standin/checker/randomised_test.go
@@ -138,28 +138,9 @@
 	w.checked = append(w.checked, p.Backend)
 }
 
-var ticket = fmt.Sprintf(`number: 1
-author: test
-client_accounts:
-  - {name: caller, key_sha256: [%s], class: field, weight: 1}
-services:
-  - name: assistant-llm
-    kind: model
-    timeout: 4s
-    attempts: 5
-    retry_budget: 0.5
-    execution_retention: 1h
-    objective: {availability: 0.99, first_byte: 1s}
-  - name: member-desk
-    kind: plain
-    path_prefix: /desk/
-    require_key: true
-    timeout: 3s
-    attempts: 5
-    retry_budget: 0.5
-    execution_retention: 1h
-    objective: {availability: 0.99, first_byte: 1s}
-`, starter.HashKey(starter.DemoKey))
+var ticket = starter.Services{
+	ModelTimeout: 4 * time.Second, DeskTimeout: 3 * time.Second, Attempts: 5, RetryBudget: 0.5, RequireKey: true,
+}.Ticket()
 
 // call sends a call through any entry instance.
 func (w *world) call(ctx context.Context, rng *rand.Rand, call Call) *Told {
