--- a/cmd/siskinfall/main.go
+++ b/cmd/siskinfall/main.go
@@ -30,6 +30,8 @@
 type args struct {
 	Entry     *entryCmd     `arg:"subcommand:entry" help:"run an entry instance"`
 	Agent     *agentCmd     `arg:"subcommand:agent" help:"run the agent of a backend server"`
+	Gateway   *gatewayCmd   `arg:"subcommand:gateway" help:"run a gateway on the users' platform"`
+	Sidecar   *sidecarCmd   `arg:"subcommand:sidecar" help:"run the sidecar of a model engine on the users' platform"`
 	Dev       *devCmd       `arg:"subcommand:dev" help:"run a whole small fleet in one process"`
 	Ticket    *ticketCmd    `arg:"subcommand:ticket" help:"apply, show and list change tickets"`
 	Status    *statusCmd    `arg:"subcommand:status" help:"show instances, configuration and who lags"`
--- /dev/null
+++ b/cmd/siskinfall/platform.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"siskinfall/internal/process/launcher"
+	"siskinfall/internal/settings/loader"
+	"siskinfall/platform"
+)
+
+type gatewayCmd struct{ fileArg }
+
+func (c *gatewayCmd) run() error {
+	cfg, err := loader.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if err := launcher.SetJSONLog(cfg); err != nil {
+		return err
+	}
+	store := platform.NewStore(cfg.Platform.Address)
+	return launcher.NewGateway(cfg, store, platform.Headers{}).Run(launcher.NewSignalStop())
+}
+
+type sidecarCmd struct{ fileArg }
+
+func (c *sidecarCmd) run() error { return nil }
--- a/internal/admission/aggregator/aggregator.go
+++ b/internal/admission/aggregator/aggregator.go
@@ -11,7 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/encoder"
 )
 
--- a/internal/agent/leader/leader.go
+++ b/internal/agent/leader/leader.go
@@ -17,9 +17,9 @@
 	"siskinfall/internal/expert/coordinator"
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/leaser"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/sleeper"
+	"siskinfall/internal/store/leaser"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
--- a/internal/agent/server/server_test.go
+++ b/internal/agent/server/server_test.go
@@ -16,10 +16,10 @@
 	"siskinfall/internal/agent/driver"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/config/registrar"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
--- /dev/null
+++ b/internal/catalog/holder/catalog.go
@@ -0,0 +1,189 @@
+// Package holder keeps the newest catalog of routes, services and client
+// accounts that this process knows, and never goes back to an older one.
+package holder
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated on a route.
+type Kind string
+
+// The kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = "idempotent"
+	// NonIdempotent requests run at most once for each attempt of a caller.
+	NonIdempotent Kind = "non_idempotent"
+	// Streaming answers are event streams; they run at most once unless the route
+	// is resumable.
+	Streaming Kind = "streaming"
+)
+
+// Target is a service that a route sends a part of its requests to.
+type Target struct {
+	Service string `json:"service"`
+	// Weight is relative to the other targets of the route; it is positive.
+	Weight int `json:"weight"`
+}
+
+// Route selects requests by host and path prefix.
+type Route struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	// Prefix begins and ends with a slash.
+	Prefix string `json:"prefix"`
+	Kind   Kind   `json:"kind"`
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration `json:"timeout"`
+	// Objective is the time to the answer, or to the first event of a stream.
+	Objective time.Duration `json:"objective"`
+	// Gap is the longest pause between two events of a stream that is on time.
+	Gap time.Duration `json:"gap"`
+	// Priority is 0 for the most urgent routes.
+	Priority int `json:"priority"`
+	// Targets is not empty.
+	Targets []Target `json:"targets"`
+	// MaxAttempts bounds the backend servers for one attempt of a caller; at least 1.
+	MaxAttempts int `json:"max_attempts"`
+	// Public routes need no key.
+	Public bool `json:"public"`
+	// Resumable streams may go on at another backend server behind an event.
+	Resumable bool `json:"resumable"`
+}
+
+// IsRepeatable reports whether a request may be handed over again after it may
+// have run.
+func (r *Route) IsRepeatable() bool {
+	switch r.Kind {
+	case Idempotent:
+		return true
+	case Streaming:
+		return r.Resumable
+	case NonIdempotent:
+	}
+	return false
+}
+
+// Engine describes the model engines of a service, which run in batches.
+type Engine struct {
+	// Slots is the number of requests in one batch.
+	Slots int `json:"slots"`
+	// MemoryTokens is what an engine can hold for its running requests.
+	MemoryTokens int `json:"memory_tokens"`
+	// TokensPerEvent is the number of tokens in one event of a stream.
+	TokensPerEvent int `json:"tokens_per_event"`
+	// Pass is the time of an empty pass, and PerRequest what each running request
+	// adds.
+	Pass       time.Duration `json:"pass"`
+	PerRequest time.Duration `json:"per_request"`
+	// PerContext is added for each thousand tokens of running requests.
+	PerContext time.Duration `json:"per_context"`
+	// PrefillRate is in prompt tokens a second.
+	PrefillRate float64 `json:"prefill_rate"`
+	// UsualPrompt and UsualAnswer are tokens of a usual request.
+	UsualPrompt int `json:"usual_prompt"`
+	UsualAnswer int `json:"usual_answer"`
+	// Layers, Experts, SlotsPerRank and Spare give the form of the expert maps;
+	// Spare bounds the new experts of a rank and layer in one change.
+	Layers       int `json:"layers"`
+	Experts      int `json:"experts"`
+	SlotsPerRank int `json:"slots_per_rank"`
+	Spare        int `json:"spare"`
+	// ExpertBytes is the size of one expert, LinkRate that of the link for copies
+	// in bytes a second.
+	ExpertBytes int64   `json:"expert_bytes"`
+	LinkRate    float64 `json:"link_rate"`
+}
+
+// Service is a set of backend servers that do the same work.
+type Service struct {
+	Name string `json:"name"`
+	// MaxConnections is what one backend server accepts from all callers.
+	MaxConnections int `json:"max_connections"`
+	// Engine is nil for plain services.
+	Engine *Engine `json:"engine,omitempty"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name string   `json:"name"`
+	Keys []string `json:"keys"`
+	// Priority goes before that of the route where it is set.
+	Priority *int `json:"priority,omitempty"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes"`
+	BodyBytes     int64         `json:"body_bytes"`
+	HeaderTimeout time.Duration `json:"header_timeout"`
+	IdleTimeout   time.Duration `json:"idle_timeout"`
+}
+
+// Catalog is one whole configuration. It is not changed once it is indexed.
+type Catalog struct {
+	// Version grows with each change.
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Accounts []Account `json:"accounts"`
+	Limits   Limits    `json:"limits"`
+
+	// byHost holds the routes of each host, the longest prefix first.
+	byHost    map[string][]*Route
+	byService map[string]*Service
+	byKey     map[string]*Account
+}
+
+// Index prepares a catalog for look-ups; it must come before any of them.
+func (c *Catalog) Index() {
+	c.byHost = make(map[string][]*Route)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = insertByPrefix(c.byHost[host], r)
+	}
+	c.byService = make(map[string]*Service, len(c.Services))
+	for i := range c.Services {
+		c.byService[c.Services[i].Name] = &c.Services[i]
+	}
+	c.byKey = make(map[string]*Account)
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			c.byKey[key] = &c.Accounts[i]
+		}
+	}
+}
+
+// insertByPrefix keeps the list sorted by the length of the prefix, downwards.
+func insertByPrefix(list []*Route, r *Route) []*Route {
+	at := len(list)
+	for at > 0 && len(list[at-1].Prefix) < len(r.Prefix) {
+		at--
+	}
+	list = append(list, nil)
+	copy(list[at+1:], list[at:])
+	list[at] = r
+	return list
+}
+
+// MatchRoute returns the route with the longest prefix of path, nil for none.
+func (c *Catalog) MatchRoute(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// GetService returns a service by name, nil for none.
+func (c *Catalog) GetService(name string) *Service { return c.byService[name] }
+
+// GetAccount returns the client account that holds a key, nil for none.
+func (c *Catalog) GetAccount(key string) *Account { return c.byKey[key] }
+
+// NeedsKeys reports whether requests must carry a key of a client account.
+func (c *Catalog) NeedsKeys() bool { return len(c.Accounts) > 0 }
--- a/internal/config/registrar/reader.go
+++ b/internal/config/registrar/reader.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/encoder"
 )
 
--- a/internal/entry/server/admin.go
+++ b/internal/entry/server/admin.go
@@ -19,7 +19,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/execution/guard"
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/encoder"
 )
 
--- a/internal/entry/server/history.go
+++ b/internal/entry/server/history.go
@@ -9,10 +9,10 @@
 
 	"github.com/charmbracelet/log"
 
-	"siskinfall/internal/platform/leaser"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/report/burner"
+	"siskinfall/internal/store/leaser"
+	"siskinfall/internal/store/storer"
 )
 
 // Intervals of background work.
--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -10,7 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
--- a/internal/entry/server/share.go
+++ b/internal/entry/server/share.go
@@ -6,7 +6,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/admission/aggregator"
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/encoder"
 )
 
--- a/internal/entry/server/tickets.go
+++ b/internal/entry/server/tickets.go
@@ -11,8 +11,8 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/config/registrar"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/sleeper"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/encoder"
 )
 
--- a/internal/execution/guard/execution.go
+++ b/internal/execution/guard/execution.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/encoder"
 )
 
--- a/internal/execution/guard/guard.go
+++ b/internal/execution/guard/guard.go
@@ -10,7 +10,7 @@
 
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 )
 
 // Owner identifies the process that runs requests.
--- a/internal/execution/guard/registry.go
+++ b/internal/execution/guard/registry.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 )
 
 // ErrMayRun says that a generation could not be closed because its request
--- a/internal/expert/coordinator/epoch.go
+++ b/internal/expert/coordinator/epoch.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 )
 
 // epochRow is the row of a group's epoch.
--- /dev/null
+++ b/internal/fleet/lister/lister.go
@@ -0,0 +1,198 @@
+// Package lister keeps the list of backend servers that have registered, across
+// outages of the store that it comes from.
+package lister
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Server is one incarnation of a backend server as it registered itself.
+type Server struct {
+	// ID is unique among incarnations, but a restarted one may keep its ID.
+	ID      string         `json:"id"`
+	Service string         `json:"service"`
+	Addr    netip.AddrPort `json:"addr"`
+	Zone    string         `json:"zone"`
+	// Slots is the number of requests that it runs at once.
+	Slots int `json:"slots"`
+	// Leaving servers get no new work.
+	Leaving bool `json:"leaving"`
+	// Started tells a restart under the same ID.
+	Started time.Time `json:"started"`
+	// Revision grows with each change of the entry.
+	Revision uint64 `json:"revision"`
+}
+
+// Change is a server's entry, or its removal.
+type Change struct {
+	Server
+	Removed bool
+}
+
+// returnGrace is how long an entry that lapsed while the store was away is still
+// used after the store's return; living servers are back within about two seconds.
+const returnGrace = 2500 * time.Millisecond
+
+// Lister keeps the servers. It is safe for concurrent use.
+type Lister struct {
+	mu sync.Mutex
+	// servers holds those in use, by ID.
+	servers map[string]Server
+	// lapsed holds when servers that are missing are to be dropped.
+	lapsed map[string]time.Time
+	// revision is that of the newest change taken in.
+	revision uint64
+	// returned is when the store last came back from an outage.
+	returned time.Time
+	// away says that the store does not answer now.
+	away     bool
+	onChange []func([]Server)
+}
+
+// New returns an empty Lister.
+func New() *Lister {
+	return &Lister{servers: make(map[string]Server), lapsed: make(map[string]time.Time)}
+}
+
+// OnChange adds a function that is called with all servers after each change.
+func (l *Lister) OnChange(f func([]Server)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onChange = append(l.onChange, f)
+}
+
+// GetAll returns the servers in use.
+func (l *Lister) GetAll() []Server {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.list()
+}
+
+// GetRevision returns the revision of the newest change taken in.
+func (l *Lister) GetRevision() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
+}
+
+func (l *Lister) list() []Server {
+	all := make([]Server, 0, len(l.servers))
+	for _, s := range l.servers {
+		all = append(all, s)
+	}
+	return all
+}
+
+// SetAway says whether the store answers. Removals seen within a grace after its
+// return may be of servers that live.
+func (l *Lister) SetAway(away bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away && !away {
+		l.returned = now
+	}
+	l.away = away
+}
+
+// Replace takes in the whole list as of a revision.
+func (l *Lister) Replace(all []Server, revision uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision < l.revision {
+		return
+	}
+	present := make(map[string]bool, len(all))
+	for _, s := range all {
+		present[s.ID] = true
+		l.put(s)
+	}
+	for id := range l.servers {
+		if !present[id] {
+			l.remove(id, now)
+		}
+	}
+	l.revision = revision
+	l.notify()
+}
+
+// Apply takes in changes up to a revision, in order.
+func (l *Lister) Apply(changes []Change, revision uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision < l.revision {
+		return
+	}
+	for _, ch := range changes {
+		if ch.Removed {
+			l.remove(ch.ID, now)
+			continue
+		}
+		l.put(ch.Server)
+	}
+	l.revision = revision
+	if len(changes) > 0 {
+		l.notify()
+	}
+}
+
+// Expire drops servers whose grace has ended.
+func (l *Lister) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	dropped := false
+	for id, at := range l.lapsed {
+		if now.Before(at) || l.away {
+			continue
+		}
+		l.drop(id, "not back after the store's return")
+		dropped = true
+	}
+	if dropped {
+		l.notify()
+	}
+}
+
+func (l *Lister) put(s Server) {
+	old, known := l.servers[s.ID]
+	delete(l.lapsed, s.ID)
+	if known && old == s {
+		return
+	}
+	l.servers[s.ID] = s
+	log.Info("backend server registered", "event", "server", "server", s.ID, "service", s.Service,
+		"address", s.Addr, "availability_zone", s.Zone, "leaving", s.Leaving, "known", known, "revision", s.Revision)
+}
+
+func (l *Lister) remove(id string, now time.Time) {
+	s, known := l.servers[id]
+	if !known {
+		return
+	}
+	inOutage := l.away || (!l.returned.IsZero() && now.Sub(l.returned) < returnGrace)
+	if inOutage && !s.Leaving {
+		if _, waits := l.lapsed[id]; !waits {
+			l.lapsed[id] = now.Add(returnGrace)
+		}
+		return
+	}
+	l.drop(id, "entry removed")
+}
+
+func (l *Lister) drop(id, reason string) {
+	s := l.servers[id]
+	delete(l.servers, id)
+	delete(l.lapsed, id)
+	log.Info("backend server gone", "event", "server_gone", "server", id, "service", s.Service, "address", s.Addr,
+		"reason", reason, "revision", l.revision)
+}
+
+func (l *Lister) notify() {
+	all := l.list()
+	for _, f := range l.onChange {
+		f(all)
+	}
+}
--- /dev/null
+++ b/internal/gateway/forwarder/forwarder.go
@@ -0,0 +1,268 @@
+// Package forwarder takes requests of callers, hands each to a backend server,
+// and passes the answer back whole.
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/backend/dialer"
+	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/gateway/budgeter"
+	"siskinfall/internal/gateway/placer"
+	"siskinfall/internal/process/drainer"
+)
+
+// Request is what a caller's headers say.
+type Request struct {
+	// ID names one attempt of a caller.
+	ID  string
+	Key string
+	// Wait is for how long the caller waits, 0 if it did not say.
+	Wait time.Duration
+	// PromptTokens and AnswerTokens are 0 where they are not told; the second is
+	// an upper bound.
+	PromptTokens, AnswerTokens int
+	// AfterEvent is the last event that the caller has, 0 for none.
+	AfterEvent int
+}
+
+// Outbound is what a backend server is told beside the caller's own headers.
+type Outbound struct {
+	ServerID string
+	// Account is empty for public routes.
+	Account string
+	// Wait is what is left.
+	Wait time.Duration
+	// AfterEvent is the last event that the caller has, 0 for none.
+	AfterEvent int
+	// Urgency is from 0, the most urgent, to 9; below 0 it is not told.
+	Urgency int
+}
+
+// ServerLoad is what an answer says of the server's load.
+type ServerLoad struct{ Running, Waiting, Slots int }
+
+// Answer is what the headers of a backend server's answer say.
+type Answer struct {
+	RequestID string
+	ServerID  string
+	// FaultAt names the server that keeps another from answering, if it is told.
+	FaultAt string
+	// NotRun says that the server has not run the request and never will.
+	NotRun bool
+	// Signed answers come from a backend server, not from something at its address.
+	Signed    bool
+	KeepAlive time.Duration
+	Load      *ServerLoad
+}
+
+// Codec translates headers.
+type Codec interface {
+	DecodeRequest(h http.Header) Request
+	// EncodeRequest changes a copy of the caller's headers.
+	EncodeRequest(h http.Header, out Outbound)
+	DecodeAnswer(status int, h http.Header) Answer
+	// EncodeRefusal names the request and when to come back; after may be 0.
+	EncodeRefusal(h http.Header, requestID string, after time.Duration)
+}
+
+// Bounds of requests.
+const (
+	// defaultWait is used where neither caller nor route say how long to wait.
+	defaultWait = 30 * time.Second
+	// defaultBody bounds a body before the catalog says how large it may be, in
+	// bytes.
+	defaultBody = 1 << 20
+	// staleAfter is the age at which the catalog may lack what is new: a
+	// change must be in force within two seconds.
+	staleAfter = 1500 * time.Millisecond
+	// noCatalogRetry is told while there is no catalog.
+	noCatalogRetry = 500 * time.Millisecond
+	// connectionShare is the part of a server's connections that one gateway may
+	// use.
+	connectionShare = 0.25
+	// leastConnections is allowed whatever the share.
+	leastConnections = 8
+)
+
+// Forwarder serves callers. It is safe for concurrent use.
+type Forwarder struct {
+	drainer.Gate
+	catalog *holder.Holder
+	placer  *placer.Placer
+	budget  *budgeter.Budget
+	pool    *dialer.Pool
+	codec   Codec
+}
+
+// New returns a Forwarder.
+func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, codec Codec) *Forwarder {
+	return &Forwarder{catalog: catalog, placer: p, budget: budget, pool: pool, codec: codec}
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{Forwarder: f, w: w, r: r, start: time.Now(), Request: f.codec.DecodeRequest(r.Header)}
+	if !f.Accept() {
+		x.refuse(http.StatusServiceUnavailable, "shutting down", noCatalogRetry)
+		return
+	}
+	defer f.Finish()
+	if f.IsDraining() {
+		w.Header().Set("Connection", "close")
+	}
+	if !x.admit() || !x.readBody() {
+		return
+	}
+	x.serve(r.Context())
+}
+
+// exchange is one attempt of a caller.
+type exchange struct {
+	*Forwarder
+	Request
+	w     http.ResponseWriter
+	r     *http.Request
+	start time.Time
+	// catalog is the one by which the request is handled from start to end.
+	current *holder.Catalog
+	route   *holder.Route
+	// account is nil on public routes.
+	account *holder.Account
+	service string
+	body    []byte
+	// until is when the caller or the route gives up.
+	until time.Time
+	// tried names the servers that were handed the request, in order.
+	tried []string
+	// sent counts the times the request was handed over.
+	sent int
+	// lastEvent is the last event passed on, and passed says whether the head was.
+	lastEvent int
+	passed    bool
+	// mayHaveRun says that some server may have begun to work on it.
+	mayHaveRun bool
+}
+
+// admit finds route and client account, or answers and reports false.
+func (x *exchange) admit() bool {
+	x.current = x.catalog.Get()
+	if x.current == nil {
+		x.refuse(http.StatusServiceUnavailable, "no catalog yet", noCatalogRetry)
+		return false
+	}
+	x.route = x.current.MatchRoute(x.r.Host, x.r.URL.Path)
+	if x.route == nil {
+		return x.deny(http.StatusNotFound, "no route")
+	}
+	if !x.route.Public && x.current.NeedsKeys() {
+		x.account = x.current.GetAccount(x.Key)
+		if x.account == nil {
+			return x.deny(http.StatusUnauthorized, "unknown key")
+		}
+	}
+	wait := x.route.Timeout
+	if x.Wait > 0 && (wait == 0 || x.Wait < wait) {
+		wait = x.Wait
+	}
+	if wait == 0 {
+		wait = defaultWait
+	}
+	x.until = x.start.Add(wait)
+	x.service = pickTarget(x.route.Targets)
+	x.budget.AddRequest(x.service, x.start)
+	return true
+}
+
+// deny answers that the request is not allowed, if the catalog is recent enough
+// to say so.
+func (x *exchange) deny(status int, reason string) bool {
+	age := x.catalog.GetAge(x.start)
+	if age > staleAfter+watchSlack {
+		x.refuse(http.StatusServiceUnavailable, reason+", but the catalog may be old", noCatalogRetry)
+		return false
+	}
+	x.refuse(status, reason, 0)
+	return false
+}
+
+// watchSlack is how long a source is silent while nothing changes.
+const watchSlack = 4 * time.Second
+
+func pickTarget(targets []holder.Target) string {
+	total := 0
+	for _, t := range targets {
+		total += t.Weight
+	}
+	n := rand.IntN(total)
+	for _, t := range targets {
+		if n < t.Weight {
+			return t.Service
+		}
+		n -= t.Weight
+	}
+	return targets[0].Service
+}
+
+// readBody reads the request's body whole, so that it can be handed over again,
+// or answers and reports false.
+func (x *exchange) readBody() bool {
+	limit := x.current.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if x.r.ContentLength == 0 {
+		return true
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		x.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+		return false
+	case err != nil:
+		log.Info("request broke off", "event", "ended", "request", x.ID, "step", "read_body", "error", err)
+		panic(http.ErrAbortHandler)
+	}
+	x.body = body
+	return true
+}
+
+// refuse ends a request that has not run; after tells the caller when to come
+// back.
+func (x *exchange) refuse(status int, reason string, after time.Duration) {
+	x.fail(status, reason, after)
+}
+
+// fail ends a request without an answer of a backend server.
+func (x *exchange) fail(status int, reason string, after time.Duration) {
+	x.codec.EncodeRefusal(x.w.Header(), x.ID, after)
+	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	x.w.WriteHeader(status)
+	_, _ = io.WriteString(x.w, reason+"\n")
+	x.logEnd(status, reason, after)
+}
+
+func (x *exchange) logEnd(status int, reason string, after time.Duration) {
+	route := ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	kv := []any{
+		"event", "ended", "request", x.ID, "status", status, "reason", reason, "route", route, "service", x.service,
+		"took", time.Since(x.start), "sent", x.sent, "tried", x.tried, "catalog", x.catalog.GetVersion(),
+	}
+	if after > 0 {
+		kv = append(kv, "retry_after", after)
+	}
+	if x.lastEvent > 0 {
+		kv = append(kv, "last_event", x.lastEvent)
+	}
+	log.Info("request ended", kv...)
+}
--- /dev/null
+++ b/internal/process/launcher/gateway.go
@@ -0,0 +1,178 @@
+package launcher
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/backend/dialer"
+	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/fleet/lister"
+	"siskinfall/internal/fleet/watcher"
+	"siskinfall/internal/gateway/budgeter"
+	"siskinfall/internal/gateway/forwarder"
+	"siskinfall/internal/gateway/placer"
+	"siskinfall/internal/process/sleeper"
+	"siskinfall/internal/process/tuner"
+	"siskinfall/internal/report/logger"
+	"siskinfall/internal/settings/loader"
+)
+
+const (
+	// memoryFraction of the memory allowed is the collector's limit; stacks, code
+	// and socket buffers take the rest.
+	memoryFraction = 0.6
+	// cutMargin is the part of the grace left for the end of the process.
+	cutMargin = 400 * time.Millisecond
+	// callerIdle is how long an idle connection of a caller is kept. It is longer
+	// than any caller waits before it uses a connection again.
+	callerIdle = 3 * time.Minute
+	// callerHeader bounds the wait for a request's head, and the head itself in
+	// bytes.
+	callerHeader      = 5 * time.Second
+	callerHeaderBytes = 64 << 10
+	// keepPeriod is how often idle connections and lapsed entries are looked at.
+	keepPeriod = 500 * time.Millisecond
+)
+
+// Gateway joins the parts of a gateway.
+type Gateway struct {
+	cfg     *loader.Settings
+	catalog *holder.Holder
+	servers *lister.Lister
+	placer  *placer.Placer
+	pool    *dialer.Pool
+	budget  *budgeter.Budget
+	forward *forwarder.Forwarder
+	watch   *watcher.Watcher
+	// leaving is set when the process is asked to stop.
+	leaving atomic.Bool
+}
+
+// NewGateway returns a gateway on a platform's source and headers.
+func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
+	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(), pool: dialer.NewPool()}
+	g.budget = budgeter.New(budgeter.Bound{
+		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
+	}, time.Now())
+	g.catalog.OnChange(g.placer.SetCatalog)
+	g.servers.OnChange(g.placer.SetServers)
+	g.forward = forwarder.New(g.catalog, g.placer, g.budget, g.pool, codec)
+	g.watch = watcher.New(source, g.catalog, g.servers)
+	return g
+}
+
+// SetJSONLog sends JSON lines to standard output without ever blocking.
+func SetJSONLog(cfg *loader.Settings) error {
+	log.SetOutput(logger.New(os.Stdout))
+	cfg.Log.Format = "json"
+	return SetLog(cfg)
+}
+
+// Run serves until stop.
+func (g *Gateway) Run(stop Stop) error {
+	ctx, cancel := context.WithCancel(stop.Forced)
+	defer cancel()
+	debug.SetMemoryLimit(int64(float64(g.cfg.Gateway.Memory<<20) * memoryFraction))
+	var ls listeners
+	callers, err := ls.bind(g.cfg.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	admin, err := ls.bind(g.cfg.Listen.Admin)
+	if err != nil {
+		return err
+	}
+	front := &http.Server{
+		Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle,
+		MaxHeaderBytes: callerHeaderBytes,
+	}
+	operate := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: callerHeader}
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){g.watch.RunCatalog, g.watch.RunServers, tuner.Run, g.keep, g.reload} {
+		wg.Go(func() { f(ctx) })
+	}
+	wg.Go(func() { serveHTTP(front, callers) })
+	wg.Go(func() { serveHTTP(operate, admin) })
+	log.Info("started", "event", "start", "role", "gateway", "callers", callers.Addr(), "admin", admin.Addr())
+	<-stop.Graceful.Done()
+	done := g.drain(stop, front, callers)
+	_ = operate.Close()
+	cancel()
+	wg.Wait()
+	return ended(done)
+}
+
+// drain leaves the rotation first, then ends what is in flight.
+func (g *Gateway) drain(stop Stop, front *http.Server, _ net.Listener) bool {
+	start := time.Now()
+	g.leaving.Store(true)
+	log.Info("stopping", "event", "stop", "role", "gateway")
+	sleeper.Sleep(stop.Forced, g.cfg.Gateway.RotationDelay)
+	ctx, cancel := context.WithDeadline(stop.Forced, start.Add(g.cfg.Gateway.Grace-cutMargin))
+	defer cancel()
+	err := front.Shutdown(ctx)
+	if err != nil {
+		_ = front.Close()
+	}
+	return err == nil
+}
+
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	g.forward.ServeHTTP(w, r)
+}
+
+// isReady reports whether new callers should come here.
+func (g *Gateway) isReady() bool {
+	return !g.leaving.Load() && g.catalog.Get() != nil && g.servers.GetRevision() > 0
+}
+
+func (g *Gateway) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return mux
+}
+
+// keep closes idle connections to servers that have gone and drops entries whose
+// grace has ended.
+func (g *Gateway) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleeper.Sleep(ctx, keepPeriod)
+		g.servers.Expire(time.Now())
+		g.pool.Keep(func(k dialer.Key) bool { return g.placer.IsInUse(k.ID) }, time.Now())
+	}
+}
+
+// reload tells of changed settings. Addresses and bounds stay those of the start
+// until the process is replaced.
+func (g *Gateway) reload(ctx context.Context) {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	defer signal.Stop(ch)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ch:
+			log.Info("settings reloaded", "event", "reload", "role", "gateway")
+		}
+	}
+}
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -19,10 +19,10 @@
 	agent "siskinfall/internal/agent/server"
 	entry "siskinfall/internal/entry/server"
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/tuner"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
--- a/internal/process/launcher/process_test.go
+++ b/internal/process/launcher/process_test.go
@@ -22,12 +22,12 @@
 
 	entry "siskinfall/internal/entry/server"
 	"siskinfall/internal/operator/caller"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/standin/checker"
 	"siskinfall/internal/standin/responder"
 	"siskinfall/internal/standin/starter"
+	"siskinfall/internal/store/storer"
 )
 
 // streams is the number of streams at once during a shutdown.
--- a/internal/routing/tracker/subset.go
+++ b/internal/routing/tracker/subset.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 )
 
 var errWrongInstance = errors.New("another instance answers at this address")
--- a/internal/routing/tracker/tracker.go
+++ b/internal/routing/tracker/tracker.go
@@ -15,9 +15,9 @@
 
 	"github.com/charmbracelet/log"
 
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/routing/picker"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
--- a/internal/routing/tracker/tracker_test.go
+++ b/internal/routing/tracker/tracker_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/routing/picker"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/encoder"
 )
 
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -17,6 +17,8 @@
 	Log      Log      `yaml:"log" comment:"structured logs on standard error"`
 	Entry    Entry    `yaml:"entry" comment:"used by the entry command only"`
 	Agent    Agent    `yaml:"agent" comment:"used by the agent command only"`
+	Gateway  Gateway  `yaml:"gateway" comment:"used by the gateway command only"`
+	Sidecar  Sidecar  `yaml:"sidecar" comment:"used by the sidecar command only"`
 }
 
 // Listen holds the addresses that the process binds.
@@ -83,6 +85,29 @@
 	HealthPeriod   time.Duration `yaml:"health_interval" validate:"min=50ms,max=1m" comment:"how often the backend server is checked"`
 }
 
+// Gateway configures a gateway, which hands requests to backend servers itself.
+type Gateway struct {
+	Memory int `yaml:"memory_megabytes" validate:"min=32,max=65536" comment:"memory that the process may use"`
+	// RotationDelay plus the time of the longest request stays under Grace.
+	RotationDelay time.Duration `yaml:"rotation_delay" validate:"min=0,max=1m" comment:"how long new connections still come after a shutdown has begun"`
+	Grace         time.Duration `yaml:"grace" validate:"min=1s,max=1h" comment:"time between the request to stop and the kill"`
+	RepeatRatio   float64       `yaml:"repeat_ratio" validate:"min=0,max=1" comment:"repeats for each request, over all gateways"`
+	RepeatSlack   float64       `yaml:"repeat_slack" validate:"min=0" comment:"repeats beyond that in a window, over all gateways"`
+	RepeatWindow  time.Duration `yaml:"repeat_window" validate:"min=1s,max=10m" comment:"window in which repeats are counted"`
+	// SeedPeers need not live.
+	SeedPeers   []netip.AddrPort `yaml:"seed_peers" comment:"gateways and sidecars to ask first"`
+	SidecarPort uint16           `yaml:"sidecar_port" comment:"port of the sidecars, at their backend servers' addresses; 0 for none"`
+}
+
+// Sidecar configures a sidecar, which runs beside a model engine.
+type Sidecar struct {
+	Memory  int            `yaml:"memory_megabytes" validate:"min=32,max=65536" comment:"memory that the process may use"`
+	Backend netip.AddrPort `yaml:"backend" comment:"address of the engine on this instance"`
+	Service string         `yaml:"service" comment:"service of the engine"`
+	// SeedPeers need not live.
+	SeedPeers []netip.AddrPort `yaml:"seed_peers" comment:"gateways to ask first"`
+}
+
 // NewSettings returns the defaults.
 func NewSettings() *Settings {
 	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
@@ -119,5 +144,19 @@
 			QueueBytes:     16 << 20,
 			HealthPeriod:   500 * time.Millisecond,
 		},
+		Gateway: Gateway{
+			Memory:        256,
+			RotationDelay: 2200 * time.Millisecond,
+			Grace:         30 * time.Second,
+			RepeatRatio:   0.2,
+			RepeatSlack:   50,
+			RepeatWindow:  10 * time.Second,
+			SeedPeers:     []netip.AddrPort{},
+		},
+		Sidecar: Sidecar{
+			Memory:    128,
+			Backend:   netip.AddrPortFrom(loopback, 9100),
+			SeedPeers: []netip.AddrPort{},
+		},
 	}
 }
--- a/internal/standin/bencher/capacity.go
+++ b/internal/standin/bencher/capacity.go
@@ -17,13 +17,13 @@
 	"siskinfall/internal/config/registrar"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/operator/caller"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/standin/checker"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
 	"siskinfall/internal/standin/starter"
+	"siskinfall/internal/store/storer"
 )
 
 // Times of one measurement.
--- a/internal/standin/bencher/fakes.go
+++ b/internal/standin/bencher/fakes.go
@@ -7,10 +7,10 @@
 	"net/netip"
 	"time"
 
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/standin/starter"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
--- a/internal/standin/bencher/path.go
+++ b/internal/standin/bencher/path.go
@@ -19,10 +19,10 @@
 
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/operator/caller"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/standin/checker"
 	"siskinfall/internal/standin/starter"
+	"siskinfall/internal/store/storer"
 )
 
 // Conditions of the path's measurement.
--- a/internal/standin/bencher/tickets.go
+++ b/internal/standin/bencher/tickets.go
@@ -9,12 +9,12 @@
 
 	entry "siskinfall/internal/entry/server"
 	"siskinfall/internal/operator/caller"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
 	"siskinfall/internal/standin/starter"
+	"siskinfall/internal/store/storer"
 )
 
 // Sizes of the measurement of tickets: those of today.
--- a/internal/standin/keeper/direct.go
+++ b/internal/standin/keeper/direct.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 )
 
 // ErrUnavailable is the error of a fault.
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 )
 
 // Faults are the switches of a Keeper.
--- a/internal/standin/starter/fleet_test.go
+++ b/internal/standin/starter/fleet_test.go
@@ -16,11 +16,11 @@
 	"siskinfall/internal/check/asserter"
 	entry "siskinfall/internal/entry/server"
 	"siskinfall/internal/operator/caller"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/standin/checker"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
+	"siskinfall/internal/store/storer"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -16,12 +16,12 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/process/launcher"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
+	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 )
 
--- a/internal/platform/leaser/leaser.go
+++ b/internal/store/leaser/leaser.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/platform/storer"
+	"siskinfall/internal/store/storer"
 )
 
 const rowPath = "lease/"
--- a/internal/platform/leaser/leaser_test.go
+++ b/internal/store/leaser/leaser_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"siskinfall/internal/platform/storer"
 	"siskinfall/internal/standin/keeper"
+	"siskinfall/internal/store/storer"
 )
 
 const ttl = 10 * time.Second
