Sidecars, map changes and gossip between gateways

Cause: the most loaded rank had 3.4 times the mean of a pass, and gateways that the store turns away learnt nothing.

Change: sidecars read load and counts on their own instance; the lowest rank plans (group/shifter, at most the spare copies a rank) and changes the map with a protocol that decides at the first rank and arms under a hold (group/commander). Gateways exchange catalog, servers, members and crashes (fleet/gossiper). Idempotent work that a server answered with 5xx is tried once elsewhere.

Ruled out: a lease for the leader (away when the store is).

Not yet: tests of these parts.

--- a/cmd/siskinfall/platform.go
+++ b/cmd/siskinfall/platform.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"net/netip"
+
+	"siskinfall/internal/group/messenger"
 	"siskinfall/internal/process/launcher"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/platform"
@@ -22,4 +25,14 @@
 
 type sidecarCmd struct{ fileArg }
 
-func (c *sidecarCmd) run() error { return nil }
+func (c *sidecarCmd) run() error {
+	cfg, err := loader.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if err := launcher.SetJSONLog(cfg); err != nil {
+		return err
+	}
+	newEngine := func(addr netip.AddrPort) messenger.Engine { return platform.NewEngine(addr) }
+	return launcher.NewSidecar(cfg, newEngine).Run(launcher.NewSignalStop())
+}
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -44,8 +44,9 @@
 	servers map[string]Server
 	// lapsed holds when servers that are missing are to be dropped.
 	lapsed map[string]time.Time
-	// revision is that of the newest change taken in.
-	revision uint64
+	// revision is that up to which changes were taken in, changed that of the
+	// newest one.
+	revision, changed uint64
 	// returned is when the store last came back from an outage.
 	returned time.Time
 	// away says that the store does not answer now.
@@ -72,7 +73,7 @@
 	return l.list()
 }
 
-// GetRevision returns the revision of the newest change taken in.
+// GetRevision returns the revision up to which changes were taken in.
 func (l *Lister) GetRevision() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -87,6 +88,31 @@
 	return all
 }
 
+// GetChanged returns the revision of the newest change of an entry.
+func (l *Lister) GetChanged() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// GetSnapshot returns the servers in use with the revision of the newest change.
+func (l *Lister) GetSnapshot() ([]Server, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.list(), l.changed
+}
+
+// Merge takes in the list of another gateway if it holds a newer change.
+func (l *Lister) Merge(all []Server, changed uint64, now time.Time) {
+	l.mu.Lock()
+	newer := changed > l.changed
+	revision := max(l.revision, changed)
+	l.mu.Unlock()
+	if newer {
+		l.Replace(all, revision, now)
+	}
+}
+
 // SetAway says whether the store answers. Removals seen within a grace after its
 // return may be of servers that live.
 func (l *Lister) SetAway(away bool, now time.Time) {
@@ -113,8 +139,12 @@
 	for id := range l.servers {
 		if !present[id] {
 			l.remove(id, now)
+			l.changed = max(l.changed, revision)
 		}
 	}
+	for _, s := range all {
+		l.changed = max(l.changed, s.Revision)
+	}
 	l.revision = revision
 	l.notify()
 }
@@ -127,6 +157,7 @@
 		return
 	}
 	for _, ch := range changes {
+		l.changed = max(l.changed, ch.Revision)
 		if ch.Removed {
 			l.remove(ch.ID, now)
 			continue
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -119,7 +119,9 @@
 	onAway func(bool)
 	// away says that the latest call failed.
 	away bool
-	// after is the revision to go on from, 0 if the whole table is to be read.
+	// known says that the table was read whole as of after, the revision to go on
+	// from.
+	known bool
 	after uint64
 }
 
@@ -137,7 +139,7 @@
 		}
 		if errors.Is(err, ErrHistoryLost) {
 			log.Info("store history lost", "event", "history_lost", "table", f.name, "after", f.after)
-			f.after = 0
+			f.known = false
 			continue
 		}
 		f.setAway(true, err)
@@ -147,12 +149,12 @@
 }
 
 func (f *follower) step(ctx context.Context) error {
-	if f.after == 0 {
+	if !f.known {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		revision, err := f.get(ctx)
 		if err == nil {
-			f.after = revision
+			f.after, f.known = revision, true
 		}
 		return err
 	}
--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -26,6 +26,13 @@
 		return x.handleUnknown(ctx, p, err)
 	}
 	whole := errors.Is(err, io.EOF)
+	if whole && x.isWorthAnother(a.resp.StatusCode) {
+		a.release(true, x.pool)
+		p.Finish(placer.Failed, time.Now())
+		x.mayHaveRun = true
+		x.logAttempt(p, "failed by the backend server", nil)
+		return again{sent: true, fail: failure{status: a.resp.StatusCode, held: &heldAnswer{resp: a.resp, body: held.Bytes()}}}
+	}
 	x.writeHead(a.resp, whole, held.Len())
 	if _, werr := x.w.Write(held.Bytes()); werr != nil || whole {
 		return x.finishAnswer(p, a, whole, werr)
@@ -34,6 +41,22 @@
 	return x.finishAnswer(p, a, err == nil, err)
 }
 
+// isWorthAnother reports whether a failure of a backend server should be tried
+// elsewhere; the caller gets this failure if that is not possible.
+func (x *exchange) isWorthAnother(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout && x.route.IsRepeatable()
+}
+
+// writeHeld passes on a failure that a backend server answered.
+func (x *exchange) writeHeld(h *heldAnswer) {
+	x.writeHead(h.resp, true, len(h.body))
+	_, err := x.w.Write(h.body)
+	x.logEnd(h.resp.StatusCode, "failed by the backend server", 0)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // finishAnswer ends an answer; one that broke off must not look complete.
 func (x *exchange) finishAnswer(p *placer.Placed, a *answered, whole bool, err error) next {
 	a.release(whole, x.pool)
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/placer"
+	"siskinfall/internal/gateway/quarantiner"
 	"siskinfall/internal/process/drainer"
 )
 
@@ -98,12 +99,13 @@
 	placer  *placer.Placer
 	budget  *budgeter.Budget
 	pool    *dialer.Pool
+	crashes *quarantiner.Set
 	codec   Codec
 }
 
 // New returns a Forwarder.
-func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, codec Codec) *Forwarder {
-	return &Forwarder{catalog: catalog, placer: p, budget: budget, pool: pool, codec: codec}
+func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, crashes *quarantiner.Set, codec Codec) *Forwarder {
+	return &Forwarder{catalog: catalog, placer: p, budget: budget, pool: pool, crashes: crashes, codec: codec}
 }
 
 // ServeHTTP implements http.Handler.
@@ -117,7 +119,7 @@
 	if f.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
-	if !x.admit() || !x.readBody() {
+	if !x.admit() || !x.readBody() || !x.isHarmless() {
 		return
 	}
 	x.serve(r.Context())
@@ -137,6 +139,8 @@
 	account *holder.Account
 	service string
 	body    []byte
+	// digest identifies the request when it is sent again.
+	digest uint64
 	// until is when the caller or the route gives up.
 	until time.Time
 	// tried names the servers that were handed the request, in order.
@@ -234,6 +238,21 @@
 	return true
 }
 
+// isHarmless reports whether the request has not crashed too many servers, or
+// answers and reports false.
+func (x *exchange) isHarmless() bool {
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+	}
+	x.digest = quarantiner.Digest(x.r.Method, x.r.RequestURI, account, x.body)
+	if !x.crashes.IsStopped(x.digest) {
+		return true
+	}
+	x.refuse(http.StatusServiceUnavailable, "request has crashed backend servers", 0)
+	return false
+}
+
 // refuse ends a request that has not run; after tells the caller when to come
 // back.
 func (x *exchange) refuse(status int, reason string, after time.Duration) {
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -28,11 +28,20 @@
 	fail failure
 }
 
-// failure is an answer of this process.
+// failure is an answer of this process, or the failure that a backend server
+// answered.
 type failure struct {
 	status int
 	reason string
 	after  time.Duration
+	// held is nil for an answer of this process.
+	held *heldAnswer
+}
+
+// heldAnswer is a backend server's answer, read whole.
+type heldAnswer struct {
+	resp *http.Response
+	body []byte
 }
 
 func (done) next()  {}
@@ -45,6 +54,10 @@
 	unsent := 0
 	last := failure{}
 	for {
+		if last.held != nil && !x.placer.HasOther(x.service, x.tried) {
+			x.giveUp(ctx, last)
+			return
+		}
 		switch v := x.placer.Place(x.newWork(), time.Now()).(type) {
 		case *placer.Refused:
 			if last.status == 0 {
@@ -84,6 +97,8 @@
 	case x.r.Context().Err() != nil:
 		x.logEnd(0, "caller left", 0)
 		panic(http.ErrAbortHandler)
+	case f.held != nil:
+		x.writeHeld(f.held)
 	case x.passed:
 		x.logEnd(http.StatusOK, "answer broke off: "+f.reason, 0)
 		panic(http.ErrAbortHandler)
@@ -155,6 +170,9 @@
 		return again{sent: true, fail: failure{status: http.StatusBadGateway, reason: "caller left"}}
 	}
 	p.Finish(placer.Failed, time.Now())
+	if crashes := x.crashes.AddCrash(x.digest, time.Now()); crashes > 1 {
+		log.Warn("request lost several backend servers", "event", "crash", "request", x.ID, "server", p.ID, "crashes", crashes, "digest", x.digest)
+	}
 	if ctx.Err() != nil {
 		return again{sent: true, fail: failure{status: http.StatusGatewayTimeout, reason: "no answer in time"}}
 	}
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -21,7 +22,9 @@
 	Memory int
 	// Broken says that the server's group can't run anything now.
 	Broken bool
-	At     time.Time
+	// Pass is the smoothed time of a pass, 0 if it is not known.
+	Pass time.Duration
+	At   time.Time
 }
 
 // Work is a request that asks for a place.
@@ -190,11 +193,27 @@
 	s.load, s.delta = load, 0
 }
 
-// HasServers reports whether a service has servers that may get work.
-func (p *Placer) HasServers(service string) bool {
+// SetEngineLoad takes in the load of the engine at an address, started at a time.
+func (p *Placer) SetEngineLoad(addr netip.AddrPort, started time.Time, load Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.byService[service]) > 0
+	for _, s := range p.servers {
+		if s.Addr == addr && s.Started.Equal(started) && !load.At.Before(s.load.At) {
+			s.load, s.delta = load, 0
+		}
+	}
+}
+
+// HasOther reports whether a service has a server besides those that were tried.
+func (p *Placer) HasOther(service string, tried []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.byService[service] {
+		if !contains(tried, s.ID) {
+			return true
+		}
+	}
+	return false
 }
 
 // IsInUse reports whether a server may get work.
--- /dev/null
+++ b/internal/group/balancer/balancer.go
@@ -0,0 +1,255 @@
+// Package balancer leads the map changes of a lock-step group while this sidecar
+// is the one to do so: it reads all ranks, estimates demand, plans, and lets the
+// commander make the change. Two sidecars may lead at once without harm.
+package balancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/group/commander"
+	"siskinfall/internal/group/sampler"
+	"siskinfall/internal/group/shifter"
+	"siskinfall/internal/process/sleeper"
+)
+
+// Times of leading.
+const (
+	// period is the pause between two rounds: some four passes.
+	period = 250 * time.Millisecond
+	// silence is how long the lower ranks may be silent before this one leads; it
+	// is two rounds.
+	silence = 550 * time.Millisecond
+	// silenceStep is added for each lower rank, so that one takes over at a time.
+	silenceStep = 60 * time.Millisecond
+	// stuckAfter is how long a pass may be held by another leader. A change holds
+	// it for some 20 ms.
+	stuckAfter = 200 * time.Millisecond
+	// stuckPoll is the pause between two looks at a held pass.
+	stuckPoll = 50 * time.Millisecond
+	// horizon is how long a demand is expected to last.
+	horizon = 3 * time.Second
+	// copySlowdown is how much longer passes take while experts are copied.
+	copySlowdown = 0.15
+	// minLoss is the least lowering of the highest load that is worth orders to
+	// all ranks.
+	minLoss = 0.04
+)
+
+// Balancer leads one group. Run is for one goroutine.
+type Balancer struct {
+	transport commander.Transport
+	commander *commander.Commander
+	own       netip.AddrPort
+	// engines returns the engines of the service, engine their shape.
+	engines func() []netip.AddrPort
+	engine  func() *holder.Engine
+	// lower is when a lower rank last read this one, in Unix nanoseconds.
+	lower atomic.Int64
+	// rank is the own rank, -1 while it is not known.
+	rank atomic.Int64
+	// placement is the one in force as far as this leader knows, of knownVersion.
+	placement    shifter.Placement
+	knownVersion uint64
+	demand       *sampler.Demand
+	shape        [2]int
+	// heldSince and heldStep tell for how long a pass has been held.
+	heldSince time.Time
+	heldStep  uint64
+	leading   bool
+}
+
+// New returns a Balancer of the sidecar beside the engine at own.
+func New(t commander.Transport, own netip.AddrPort, engines func() []netip.AddrPort, engine func() *holder.Engine) *Balancer {
+	b := &Balancer{transport: t, commander: commander.New(t, rand.Uint64), own: own, engines: engines, engine: engine}
+	b.rank.Store(-1)
+	return b
+}
+
+// NoteReading says that a leader has read this sidecar's engine.
+func (b *Balancer) NoteReading(leaderRank int, now time.Time) {
+	if int64(leaderRank) < b.rank.Load() {
+		b.lower.Store(now.UnixNano())
+	}
+}
+
+// Run leads whenever no lower rank does, until ctx ends.
+func (b *Balancer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := b.round(ctx)
+		sleeper.Sleep(ctx, pause)
+	}
+}
+
+// shouldLead reports whether no lower rank has been heard of for long enough.
+func (b *Balancer) shouldLead(rank int, now time.Time) bool {
+	quiet := now.Sub(time.Unix(0, b.lower.Load()))
+	lead := rank == 0 || quiet > silence+time.Duration(rank)*silenceStep
+	if lead != b.leading {
+		log.Info("leadership changed", "event", "leader", "leads", lead, "rank", rank, "quiet", quiet)
+		b.leading = lead
+		b.demand = nil
+	}
+	return lead
+}
+
+// round reads the group and changes its map if that pays. It returns the pause
+// until the next round.
+func (b *Balancer) round(ctx context.Context) time.Duration {
+	own, err := b.transport.Read(ctx, b.own, commander.Query{KnownVersion: b.knownVersion})
+	if err != nil {
+		log.Info("own engine not read", "event", "engine_lost", "error", err)
+		return period
+	}
+	b.rank.Store(int64(own.Rank))
+	engine := b.engine()
+	if own.Broken || engine == nil || engine.Layers == 0 || !b.shouldLead(own.Rank, time.Now()) {
+		return period
+	}
+	g, ok := b.read(ctx, own)
+	if !ok {
+		return period
+	}
+	if g.Held() != nil {
+		return b.handleHeld(ctx, g)
+	}
+	b.heldSince = time.Time{}
+	if g.Armed() != nil {
+		// A change comes into force at the next pass.
+		return stuckPoll
+	}
+	b.balance(ctx, g, own, engine)
+	return period
+}
+
+// read reads all ranks of the own group.
+func (b *Balancer) read(ctx context.Context, own *commander.Status) (commander.Group, bool) {
+	q := commander.Query{LeaderRank: own.Rank, WithCounts: true, KnownVersion: b.knownVersion}
+	var mine []*commander.Status
+	for _, s := range b.commander.ReadAll(ctx, b.engines(), q) {
+		if s != nil && s.Group == own.Group {
+			mine = append(mine, s)
+		}
+	}
+	g, err := commander.NewGroup(mine)
+	if err != nil {
+		log.Info("group not read whole", "event", "group_partial", "group", own.Group, "read", len(mine), "size", own.Size, "error", err)
+		return nil, false
+	}
+	return g, true
+}
+
+// handleHeld waits for whoever holds a pass, and ends the hold if nobody does.
+func (b *Balancer) handleHeld(ctx context.Context, g commander.Group) time.Duration {
+	step := *g.Held().Held
+	now := time.Now()
+	if b.heldSince.IsZero() || b.heldStep != step {
+		b.heldSince, b.heldStep = now, step
+	}
+	if now.Sub(b.heldSince) < stuckAfter {
+		return stuckPoll
+	}
+	err := b.commander.Recover(ctx, g)
+	log.Info("held pass ended", "event", "map_recovered", "pass", step, "held_for", now.Sub(b.heldSince), "error", err)
+	b.heldSince = time.Time{}
+	return stuckPoll
+}
+
+// balance observes, plans and changes.
+func (b *Balancer) balance(ctx context.Context, g commander.Group, own *commander.Status, engine *holder.Engine) {
+	if !b.observe(g, engine) || !b.learnPlacement(g, engine) {
+		return
+	}
+	start := time.Now()
+	plan := shifter.Next(b.placement, b.demand.Get(), shifter.Bounds{Places: engine.SlotsPerRank, Spare: engine.Spare})
+	planned := time.Since(start)
+	copying := b.copyTime(plan, engine)
+	if plan.Before-plan.After < max(minLoss, copySlowdown*copying.Seconds()/horizon.Seconds()) {
+		return
+	}
+	version := b.commander.NewVersion(g, own.Rank)
+	err := b.commander.Change(ctx, g, own, version, plan.Placement)
+	if err == nil {
+		b.placement, b.knownVersion = plan.Placement, version
+	}
+	log.Info("map change", "event", "map_change", "group", own.Group, "epoch", g.Epoch(), "version", version, "pass", g.Step(),
+		"skew_before", plan.Before, "skew_after", plan.After, "copies", plan.Copies, "copy_time", copying, "planned_in", planned,
+		"took", time.Since(start), "error", err)
+}
+
+// copyTime is how long the rank with the most copies is at them.
+func (b *Balancer) copyTime(p shifter.Plan, engine *holder.Engine) time.Duration {
+	if engine.LinkRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(p.Most) * float64(engine.ExpertBytes) / engine.LinkRate * float64(time.Second))
+}
+
+// observe takes in the counts of all ranks, and reports whether there is a demand
+// to plan for.
+func (b *Balancer) observe(g commander.Group, engine *holder.Engine) bool {
+	shape := [2]int{engine.Layers, engine.Experts}
+	if b.demand == nil || b.shape != shape {
+		b.demand, b.shape = sampler.New(engine.Layers, engine.Experts), shape
+	}
+	counts := make(map[string][]uint64, len(g))
+	epochs := make(map[string]uint64, len(g))
+	for _, s := range g {
+		if len(s.Counts) > 0 {
+			counts[s.Addr.String()] = s.Counts
+			epochs[s.Addr.String()] = uint64(s.Started.UnixMilli())
+		}
+	}
+	return b.demand.Observe(counts, epochs) && b.demand.Get() != nil
+}
+
+// learnPlacement makes the known placement the one in force, and reports whether
+// it is known.
+func (b *Balancer) learnPlacement(g commander.Group, engine *holder.Engine) bool {
+	version := g.First().Version
+	for _, s := range g {
+		if s.Version != version {
+			// Some ranks were read before the pass of a change, some after.
+			return false
+		}
+	}
+	if version == b.knownVersion && b.placement != nil && len(b.placement) == engine.Layers && len(b.placement[0]) == len(g) {
+		return true
+	}
+	if version == 0 {
+		b.placement, b.knownVersion = inTurn(engine, len(g)), 0
+		return true
+	}
+	p := make(shifter.Placement, engine.Layers)
+	for i := range p {
+		p[i] = make([][]int, len(g))
+		for _, s := range g {
+			if len(s.Experts) != engine.Layers {
+				// Told again, in full, at the next reading.
+				b.knownVersion, b.placement = 0, nil
+				return false
+			}
+			p[i][s.Rank] = s.Experts[i]
+		}
+	}
+	b.placement, b.knownVersion = p, version
+	return true
+}
+
+// inTurn is the map of a group that has just begun: the experts in turn.
+func inTurn(engine *holder.Engine, ranks int) shifter.Placement {
+	p := make(shifter.Placement, engine.Layers)
+	for i := range p {
+		p[i] = make([][]int, ranks)
+		for e := range engine.Experts {
+			p[i][e%ranks] = append(p[i][e%ranks], e)
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/group/messenger/codec.go
@@ -0,0 +1,144 @@
+package messenger
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/group/commander"
+	"siskinfall/internal/group/shifter"
+	"siskinfall/internal/wire/encoder"
+)
+
+// paceUnit is the pace of a sound rank on the wire.
+const paceUnit = 1000
+
+// Names of the orders on the wire.
+const (
+	operationPrepare = "prepare"
+	operationArm     = "arm"
+	operationDisarm  = "disarm"
+	operationHold    = "hold"
+	operationRelease = "release"
+)
+
+func isConflict(err error) bool { return errors.Is(err, commander.ErrConflict) }
+
+func encodeStatus(s *commander.Status) *encoder.EngineState {
+	out := &encoder.EngineState{
+		Address: s.Addr.String(), StartedMillis: s.Started.UnixMilli(), Group: s.Group, Epoch: s.Epoch, Rank: uint32(s.Rank),
+		Size: uint32(s.Size), Broken: s.Broken, Step: s.Step, Version: s.Version, Busy: s.Busy, Sequence: s.Sequence,
+		PreparedDigest: s.PreparedDigest, Running: uint32(s.Running), Waiting: uint32(s.Waiting), Memory: uint64(s.Memory),
+		PaceMilli: uint32(s.Pace * paceUnit), Counts: s.Counts, Experts: encodeLists(s.Experts),
+	}
+	if s.Prepared != nil {
+		out.HasPrepared, out.Prepared = true, *s.Prepared
+	}
+	if s.Armed != nil {
+		out.HasArmed, out.ArmedVersion, out.ArmedStep = true, s.Armed.Version, s.Armed.Step
+	}
+	if s.Held != nil {
+		out.HasHeld, out.HeldStep = true, *s.Held
+	}
+	return out
+}
+
+func decodeStatus(m *encoder.EngineState) (*commander.Status, error) {
+	addr, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return nil, wrapper.At("decode_status", m.GetAddress(), err)
+	}
+	out := &commander.Status{
+		Addr: addr, Started: time.UnixMilli(m.GetStartedMillis()), Group: m.GetGroup(), Epoch: m.GetEpoch(), Rank: int(m.GetRank()),
+		Size: int(m.GetSize()), Broken: m.GetBroken(), Step: m.GetStep(), Version: m.GetVersion(), Busy: m.GetBusy(),
+		Sequence: m.GetSequence(), PreparedDigest: m.GetPreparedDigest(), Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()),
+		Memory: int(m.GetMemory()), Pace: float64(m.GetPaceMilli()) / paceUnit, Counts: m.GetCounts(), Experts: decodeLists(m.GetExperts()),
+	}
+	if m.GetHasPrepared() {
+		v := m.GetPrepared()
+		out.Prepared = &v
+	}
+	if m.GetHasArmed() {
+		out.Armed = &commander.Armed{Version: m.GetArmedVersion(), Step: m.GetArmedStep()}
+	}
+	if m.GetHasHeld() {
+		v := m.GetHeldStep()
+		out.Held = &v
+	}
+	return out, nil
+}
+
+func encodeLists(lists [][]int) []*encoder.ExpertList {
+	out := make([]*encoder.ExpertList, 0, len(lists))
+	for _, list := range lists {
+		experts := make([]uint32, 0, len(list))
+		for _, e := range list {
+			experts = append(experts, uint32(e))
+		}
+		out = append(out, &encoder.ExpertList{Experts: experts})
+	}
+	return out
+}
+
+func decodeLists(lists []*encoder.ExpertList) [][]int {
+	out := make([][]int, 0, len(lists))
+	for _, list := range lists {
+		experts := make([]int, 0, len(list.GetExperts()))
+		for _, e := range list.GetExperts() {
+			experts = append(experts, int(e))
+		}
+		out = append(out, experts)
+	}
+	return out
+}
+
+func encodeOrder(d commander.Directive) *encoder.EngineOrder {
+	out := &encoder.EngineOrder{Epoch: d.Epoch}
+	if d.Sequence != nil {
+		out.HasSequence, out.Sequence = true, *d.Sequence
+	}
+	switch o := d.Order.(type) {
+	case commander.Prepare:
+		out.Operation, out.Version = operationPrepare, o.Version
+		for _, ranks := range o.Placement {
+			out.Placement = append(out.Placement, &encoder.PlacementSet{Ranks: encodeLists(ranks)})
+		}
+	case commander.Arm:
+		out.Operation, out.Version, out.Step = operationArm, o.Version, o.Step
+	case commander.Disarm:
+		out.Operation, out.Version = operationDisarm, o.Version
+	case commander.Hold:
+		out.Operation, out.Step = operationHold, o.Step
+	case commander.Release:
+		out.Operation, out.Step = operationRelease, o.Step
+	}
+	return out
+}
+
+func decodeOrder(m *encoder.EngineOrder) (commander.Directive, error) {
+	d := commander.Directive{Epoch: m.GetEpoch()}
+	if m.GetHasSequence() {
+		v := m.GetSequence()
+		d.Sequence = &v
+	}
+	switch m.GetOperation() {
+	case operationPrepare:
+		p := make(shifter.Placement, 0, len(m.GetPlacement()))
+		for _, set := range m.GetPlacement() {
+			p = append(p, decodeLists(set.GetRanks()))
+		}
+		d.Order = commander.Prepare{Version: m.GetVersion(), Placement: p}
+	case operationArm:
+		d.Order = commander.Arm{Armed: commander.Armed{Version: m.GetVersion(), Step: m.GetStep()}}
+	case operationDisarm:
+		d.Order = commander.Disarm{Version: m.GetVersion()}
+	case operationHold:
+		d.Order = commander.Hold{Step: m.GetStep()}
+	case operationRelease:
+		d.Order = commander.Release{Step: m.GetStep()}
+	default:
+		return d, wrapper.New("decode_order", "", "unknown operation "+m.GetOperation())
+	}
+	return d, nil
+}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -5,11 +5,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,15 +15,20 @@
 
 	"siskinfall/internal/backend/dialer"
 	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/fleet/gossiper"
 	"siskinfall/internal/fleet/lister"
+	"siskinfall/internal/fleet/subscriber"
 	"siskinfall/internal/fleet/watcher"
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/forwarder"
 	"siskinfall/internal/gateway/placer"
+	"siskinfall/internal/gateway/quarantiner"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/process/tuner"
 	"siskinfall/internal/report/logger"
 	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/wire/connector"
+	"siskinfall/internal/wire/encoder"
 )
 
 const (
@@ -47,28 +50,40 @@
 
 // Gateway joins the parts of a gateway.
 type Gateway struct {
-	cfg     *loader.Settings
-	catalog *holder.Holder
-	servers *lister.Lister
-	placer  *placer.Placer
-	pool    *dialer.Pool
-	budget  *budgeter.Budget
-	forward *forwarder.Forwarder
-	watch   *watcher.Watcher
+	cfg       *loader.Settings
+	catalog   *holder.Holder
+	servers   *lister.Lister
+	placer    *placer.Placer
+	pool      *dialer.Pool
+	budget    *budgeter.Budget
+	forward   *forwarder.Forwarder
+	watch     *watcher.Watcher
+	peers     *connector.Pool
+	gossip    *gossiper.Gossiper
+	crashes   *quarantiner.Set
+	hello     *encoder.Hello
+	subscribe *subscriber.Subscriber
 	// leaving is set when the process is asked to stop.
 	leaving atomic.Bool
 }
 
 // NewGateway returns a gateway on a platform's source and headers.
 func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
-	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(), pool: dialer.NewPool()}
+	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(), pool: dialer.NewPool(), crashes: quarantiner.New()}
 	g.budget = budgeter.New(budgeter.Bound{
 		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
 	}, time.Now())
 	g.catalog.OnChange(g.placer.SetCatalog)
 	g.servers.OnChange(g.placer.SetServers)
-	g.forward = forwarder.New(g.catalog, g.placer, g.budget, g.pool, codec)
+	g.forward = forwarder.New(g.catalog, g.placer, g.budget, g.pool, g.crashes, codec)
 	g.watch = watcher.New(source, g.catalog, g.servers)
+	g.hello = &encoder.Hello{
+		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
+	}
+	g.peers = connector.NewPool(g.hello)
+	g.gossip = gossiper.New(cfg.Listen.Peers, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.crashes, g.budget.SetGateways)
+	g.subscribe = subscriber.New(cfg.Listen.Peers, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossip.AddGateways)
+	g.servers.OnChange(g.subscribe.SetServers)
 	return g
 }
 
@@ -83,6 +98,7 @@
 func (g *Gateway) Run(stop Stop) error {
 	ctx, cancel := context.WithCancel(stop.Forced)
 	defer cancel()
+	context.AfterFunc(ctx, g.peers.Close)
 	debug.SetMemoryLimit(int64(float64(g.cfg.Gateway.Memory<<20) * memoryFraction))
 	var ls listeners
 	callers, err := ls.bind(g.cfg.Listen.Callers)
@@ -93,15 +109,20 @@
 	if err != nil {
 		return err
 	}
+	peers, err := ls.bind(g.cfg.Listen.Peers)
+	if err != nil {
+		return err
+	}
 	front := &http.Server{
 		Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle,
 		MaxHeaderBytes: callerHeaderBytes,
 	}
 	operate := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: callerHeader}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.watch.RunCatalog, g.watch.RunServers, tuner.Run, g.keep, g.reload} {
+	for _, f := range []func(context.Context){g.watch.RunCatalog, g.watch.RunServers, tuner.Run, g.keep, reload(RoleGateway), g.subscribe.Run, g.gossip.Run} {
 		wg.Go(func() { f(ctx) })
 	}
+	wg.Go(func() { _ = connector.NewAcceptor(g.hello, g.handle).Serve(ctx, peers) })
 	wg.Go(func() { serveHTTP(front, callers) })
 	wg.Go(func() { serveHTTP(operate, admin) })
 	log.Info("started", "event", "start", "role", "gateway", "callers", callers.Addr(), "admin", admin.Addr())
@@ -113,6 +134,17 @@
 	return ended(done)
 }
 
+// handle serves a stream of another gateway.
+func (g *Gateway) handle(ctx context.Context, peer *encoder.Hello, open *encoder.Open, s *connector.Stream) {
+	if open.GetGatewaySync() == nil {
+		return
+	}
+	err := g.gossip.Serve(s)
+	if ctx.Err() == nil {
+		log.Info("stream ended", "event", "peer_lost", "peer", peer.GetInstance(), "role", peer.GetRole(), "error", err)
+	}
+}
+
 // drain leaves the rotation first, then ends what is in flight.
 func (g *Gateway) drain(stop Stop, front *http.Server, _ net.Listener) bool {
 	start := time.Now()
@@ -160,19 +192,3 @@
 		g.pool.Keep(func(k dialer.Key) bool { return g.placer.IsInUse(k.ID) }, time.Now())
 	}
 }
-
-// reload tells of changed settings. Addresses and bounds stay those of the start
-// until the process is replaced.
-func (g *Gateway) reload(ctx context.Context) {
-	ch := make(chan os.Signal, 1)
-	signal.Notify(ch, syscall.SIGHUP)
-	defer signal.Stop(ch)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ch:
-			log.Info("settings reloaded", "event", "reload", "role", "gateway")
-		}
-	}
-}
--- /dev/null
+++ b/internal/process/launcher/sidecar.go
@@ -0,0 +1,110 @@
+package launcher
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/fleet/subscriber"
+	"siskinfall/internal/group/balancer"
+	"siskinfall/internal/group/messenger"
+	"siskinfall/internal/process/tuner"
+	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/wire/connector"
+	"siskinfall/internal/wire/encoder"
+)
+
+// RoleGateway and RoleSidecar are told to peers.
+const (
+	RoleGateway = "gateway"
+	RoleSidecar = "sidecar"
+)
+
+// Sidecar joins the parts of a sidecar.
+type Sidecar struct {
+	cfg       *loader.Settings
+	pool      *connector.Pool
+	messenger *messenger.Messenger
+	balancer  *balancer.Balancer
+	publisher *subscriber.Publisher
+	hello     *encoder.Hello
+}
+
+// NewSidecar returns a sidecar; newEngine returns the platform's client of an
+// engine.
+func NewSidecar(cfg *loader.Settings, newEngine func(netip.AddrPort) messenger.Engine) *Sidecar {
+	hello := &encoder.Hello{
+		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleSidecar, Incarnation: newIncarnation(),
+	}
+	s := &Sidecar{cfg: cfg, hello: hello, pool: connector.NewPool(hello)}
+	s.messenger = messenger.New(cfg.Sidecar.Backend, cfg.Listen.Peers.Port(), s.pool, newEngine)
+	s.publisher = subscriber.NewPublisher(s.messenger.Own(), cfg.Sidecar.Backend)
+	s.balancer = balancer.New(s.messenger, cfg.Sidecar.Backend, s.publisher.GetEngines, s.publisher.GetEngine)
+	return s
+}
+
+// Run serves until stop.
+func (s *Sidecar) Run(stop Stop) error {
+	ctx, cancel := context.WithCancel(stop.Forced)
+	defer cancel()
+	context.AfterFunc(ctx, s.pool.Close)
+	debug.SetMemoryLimit(int64(float64(s.cfg.Sidecar.Memory<<20) * memoryFraction))
+	var ls listeners
+	peers, err := ls.bind(s.cfg.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){s.publisher.Run, s.balancer.Run, tuner.Run, reload(RoleSidecar)} {
+		wg.Go(func() { f(ctx) })
+	}
+	wg.Go(func() { _ = connector.NewAcceptor(s.hello, s.handle).Serve(ctx, peers) })
+	log.Info("started", "event", "start", "role", RoleSidecar, "peers", peers.Addr(), "engine", s.cfg.Sidecar.Backend)
+	<-stop.Graceful.Done()
+	log.Info("stopping", "event", "stop", "role", RoleSidecar)
+	cancel()
+	wg.Wait()
+	return ended(true)
+}
+
+// handle serves a stream of a gateway or of another sidecar.
+func (s *Sidecar) handle(ctx context.Context, peer *encoder.Hello, open *encoder.Open, st *connector.Stream) {
+	var err error
+	switch k := open.GetKind().(type) {
+	case *encoder.Open_EngineWatch:
+		err = s.publisher.Serve(ctx, peer.GetInstance(), st)
+	case *encoder.Open_EngineQuery:
+		s.balancer.NoteReading(int(k.EngineQuery.GetLeaderRank()), time.Now())
+		err = s.messenger.Serve(ctx, open, st)
+	case *encoder.Open_EngineOrder:
+		err = s.messenger.Serve(ctx, open, st)
+	}
+	if err != nil && ctx.Err() == nil {
+		log.Info("stream ended", "event", "peer_lost", "peer", peer.GetInstance(), "role", peer.GetRole(), "error", err)
+	}
+}
+
+// reload returns what tells of changed settings. Addresses and bounds stay those
+// of the start until the process is replaced.
+func reload(role string) func(context.Context) {
+	return func(ctx context.Context) {
+		ch := make(chan os.Signal, 1)
+		signal.Notify(ch, syscall.SIGHUP)
+		defer signal.Stop(ch)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ch:
+				log.Info("settings changed", "event", "reload", "role", role)
+			}
+		}
+	}
+}
