Entries that lapse together, broken groups, repeats behind a cut

(2) BUDGET: behind a zone cut each side divided the slack among the gateways that it heard. (3) Requests were sent to a broken group and once more elsewhere in it.

Ruled out: peers' word on whether the store is up (a silent connection looks fine until its time-out).

Change: entries count as lapsed only if more than half go at once, and the first call after a failure answers at once; all gateways that ever answered share the slack; a group known to be broken refuses at once, with a Retry-After that grows with the outage.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -43,6 +43,8 @@
 	heard, seen time.Time
 	// cancel ends its goroutine.
 	cancel context.CancelFunc
+	// spoke says that it has answered at some time.
+	spoke bool
 }
 
 // Gossiper exchanges state with all other gateways. It is safe for concurrent use.
@@ -114,7 +116,8 @@
 }
 
 // update starts and ends goroutines as gateways come and go, and returns the
-// number of live ones.
+// number of those that may be live: behind a cut others go on, with their share of
+// what all have together.
 func (g *Gossiper) update(ctx context.Context, wg *sync.WaitGroup, now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -134,7 +137,7 @@
 			m.heard = now.Add(-liveFor)
 			wg.Go(func() { g.follow(memberCtx, addr) })
 		}
-		if now.Sub(m.heard) < liveFor {
+		if m.spoke {
 			live++
 		}
 	}
@@ -286,7 +289,7 @@
 func (g *Gossiper) take(m *encoder.GatewaySync, addr netip.AddrPort, now time.Time) {
 	g.mu.Lock()
 	if known := g.members[addr]; known != nil {
-		known.heard, known.seen = now, now
+		known.heard, known.seen, known.spoke = now, now, true
 	}
 	g.mu.Unlock()
 	g.AddGateways(m.GetGateways())
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,10 @@
 	Removed bool
 }
 
+// lapseFraction is the part of the entries that must go at once to be taken for
+// lapsed. Servers that leave go a few at a time.
+const lapseFraction = 0.5
+
 // returnGrace is how long an entry that lapsed while the store was away is still
 // used after the store's return; living servers are back within about two seconds.
 const returnGrace = 2500 * time.Millisecond
@@ -47,11 +52,7 @@
 	// revision is that up to which changes were taken in, changed that of the
 	// newest one.
 	revision, changed uint64
-	// returned is when the store last came back from an outage.
-	returned time.Time
-	// away says that the store does not answer now.
-	away     bool
-	onChange []func([]Server)
+	onChange          []func([]Server)
 }
 
 // New returns an empty Lister.
@@ -113,17 +114,6 @@
 	}
 }
 
-// SetAway says whether the store answers. Removals seen within a grace after its
-// return may be of servers that live.
-func (l *Lister) SetAway(away bool, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.away && !away {
-		l.returned = now
-	}
-	l.away = away
-}
-
 // Replace takes in the whole list as of a revision.
 func (l *Lister) Replace(all []Server, revision uint64, now time.Time) {
 	l.mu.Lock()
@@ -136,12 +126,14 @@
 		present[s.ID] = true
 		l.put(s)
 	}
+	var missing []string
 	for id := range l.servers {
 		if !present[id] {
-			l.remove(id, now)
+			missing = append(missing, id)
 			l.changed = max(l.changed, revision)
 		}
 	}
+	l.remove(missing, now)
 	for _, s := range all {
 		l.changed = max(l.changed, s.Revision)
 	}
@@ -156,14 +148,17 @@
 	if revision < l.revision {
 		return
 	}
+	var removed []string
 	for _, ch := range changes {
 		l.changed = max(l.changed, ch.Revision)
 		if ch.Removed {
-			l.remove(ch.ID, now)
+			removed = append(removed, ch.ID)
 			continue
 		}
+		removed = slices.DeleteFunc(removed, func(id string) bool { return id == ch.ID })
 		l.put(ch.Server)
 	}
+	l.remove(removed, now)
 	l.revision = revision
 	if len(changes) > 0 {
 		l.notify()
@@ -176,7 +171,7 @@
 	defer l.mu.Unlock()
 	dropped := false
 	for id, at := range l.lapsed {
-		if now.Before(at) || l.away {
+		if now.Before(at) {
 			continue
 		}
 		l.drop(id, "not back after the store's return")
@@ -198,19 +193,24 @@
 		"address", s.Addr, "availability_zone", s.Zone, "leaving", s.Leaving, "known", known, "revision", s.Revision)
 }
 
-func (l *Lister) remove(id string, now time.Time) {
-	s, known := l.servers[id]
-	if !known {
-		return
-	}
-	inOutage := l.away || (!l.returned.IsZero() && now.Sub(l.returned) < returnGrace)
-	if inOutage && !s.Leaving {
+// remove drops servers whose entries are gone. If most entries go at once, they
+// have lapsed together while the store was away, and the servers may live on.
+func (l *Lister) remove(ids []string, now time.Time) {
+	ids = slices.DeleteFunc(ids, func(id string) bool {
+		_, known := l.servers[id]
+		return !known
+	})
+	lapsed := float64(len(ids)) > lapseFraction*float64(len(l.servers)) && len(ids) > 1
+	for _, id := range ids {
+		if !lapsed || l.servers[id].Leaving {
+			l.drop(id, "entry removed")
+			continue
+		}
 		if _, waits := l.lapsed[id]; !waits {
 			l.lapsed[id] = now.Add(returnGrace)
+			log.Info("entry lapsed", "event", "server_lapsed", "server", id, "together", len(ids), "kept_for", returnGrace)
 		}
-		return
 	}
-	l.drop(id, "entry removed")
 }
 
 func (l *Lister) drop(id, reason string) {
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -66,9 +66,7 @@
 
 // RunServers follows the backend servers until ctx ends.
 func (w *Watcher) RunServers(ctx context.Context) {
-	f := follower{name: "servers", get: w.readServers, watch: w.watchServers, onAway: func(away bool) {
-		w.servers.SetAway(away, time.Now())
-	}}
+	f := follower{name: "servers", get: w.readServers, watch: w.watchServers}
 	f.run(ctx)
 }
 
@@ -82,8 +80,8 @@
 	return revision, nil
 }
 
-func (w *Watcher) watchCatalog(ctx context.Context, after uint64) (uint64, error) {
-	c, revision, err := w.source.WatchCatalog(ctx, after, waitTime)
+func (w *Watcher) watchCatalog(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+	c, revision, err := w.source.WatchCatalog(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -101,8 +99,8 @@
 	return revision, nil
 }
 
-func (w *Watcher) watchServers(ctx context.Context, after uint64) (uint64, error) {
-	changes, revision, err := w.source.WatchServers(ctx, after, waitTime)
+func (w *Watcher) watchServers(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+	changes, revision, err := w.source.WatchServers(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -114,9 +112,7 @@
 type follower struct {
 	name  string
 	get   func(ctx context.Context) (uint64, error)
-	watch func(ctx context.Context, after uint64) (uint64, error)
-	// onAway may be nil.
-	onAway func(bool)
+	watch func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
 	// away says that the latest call failed.
 	away bool
 	// known says that the table was read whole as of after, the revision to go on
@@ -158,9 +154,15 @@
 		}
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, waitTime+readTimeout)
+	// After a failure the first answer comes at once, so that the store's return is
+	// known and what changed meanwhile is not taken for new.
+	wait := waitTime
+	if f.away {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	revision, err := f.watch(ctx, f.after)
+	revision, err := f.watch(ctx, f.after, wait)
 	if err == nil {
 		f.after = revision
 	}
@@ -172,9 +174,6 @@
 		return
 	}
 	f.away = away
-	if f.onAway != nil {
-		f.onAway(away)
-	}
 	if away {
 		log.Warn("store lost", "event", "store_lost", "table", f.name, "error", err)
 		return
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -137,11 +137,13 @@
 	// byService holds those that may get work.
 	byService map[string][]*server
 	engines   map[string]*holder.Engine
+	// brokenSince is when a service whose group runs nothing was first found so.
+	brokenSince map[string]time.Time
 }
 
 // New returns a Placer without servers.
 func New() *Placer {
-	return &Placer{servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine)}
+	return &Placer{servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine), brokenSince: make(map[string]time.Time)}
 }
 
 // SetCatalog takes in which services are engines.
@@ -236,9 +238,13 @@
 	if best == nil {
 		return &Refused{Reason: "no backend server left", After: defaultRetry}
 	}
+	if best.isBroken(now) {
+		return &Refused{Reason: "model group is broken", After: p.repairedAfter(w.Service, now)}
+	}
 	if limit := p.limit(best); best.estimate(now) >= limit {
 		return &Refused{Reason: "all places are taken", After: p.freeAfter(best)}
 	}
+	delete(p.brokenSince, w.Service)
 	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), Age: now.Sub(best.load.At), server: best, placer: p}
 	best.own++
 	best.delta++
@@ -254,6 +260,9 @@
 			continue
 		}
 		score := float64(s.estimate(now)) / float64(s.Slots)
+		if s.isBroken(now) {
+			score += brokenScore
+		}
 		if now.Before(s.ejectedUntil) {
 			// Ejected servers are used when no other is left.
 			score += ejectedScore
@@ -271,6 +280,36 @@
 	return best
 }
 
+// brokenScore is above the score of any server, ejected or not.
+const brokenScore = 1e9
+
+// isBroken reports whether the server's group is known to run nothing.
+func (s *server) isBroken(now time.Time) bool {
+	return s.load.Broken && now.Sub(s.load.At) < reportLife
+}
+
+// repairedAfter is when a broken service is expected to run again: an outage that
+// has lasted for some time is expected to last as long again. Returns are spread.
+func (p *Placer) repairedAfter(service string, now time.Time) time.Duration {
+	since, ok := p.brokenSince[service]
+	if !ok {
+		since = now
+		p.brokenSince[service] = now
+		log.Warn("model group broken", "event", "group_broken", "service", service)
+	}
+	after := min(max(now.Sub(since), leastRepair), mostRepair)
+	return time.Duration(float64(after) * (1 + repairSpread*rand.Float64()))
+}
+
+const (
+	// leastRepair is the time in which a group forms again.
+	leastRepair = 700 * time.Millisecond
+	// mostRepair is the most that callers with the usual deadlines wait for.
+	mostRepair = 2500 * time.Millisecond
+	// repairSpread spreads the returns over a part of the wait.
+	repairSpread = 0.3
+)
+
 // ejectedScore is above the score of any server in use.
 const ejectedScore = 1e6
 
