--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -82,6 +82,16 @@
 	return err
 }
 
+// Abort closes the connection with a reset, so that the server drops the request
+// at once instead of when it next writes.
+func (c *Conn) Abort() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// The close that follows tells of a broken connection.
+		_ = tcp.SetLinger(0)
+	}
+	return c.Close()
+}
+
 // ReadAnswer reads the head of an answer to req.
 func (c *Conn) ReadAnswer(req *http.Request) (*http.Response, error) {
 	return http.ReadResponse(c.Reader, req)
--- a/internal/catalog/holder/catalog.go
+++ b/internal/catalog/holder/catalog.go
@@ -41,6 +41,8 @@
 	Objective time.Duration `json:"objective"`
 	// Gap is the longest pause between two events of a stream that is on time.
 	Gap time.Duration `json:"gap"`
+	// Patience is the pause after which callers abandon a stream, 0 for none.
+	Patience time.Duration `json:"patience"`
 	// Priority is 0 for the most urgent routes.
 	Priority int `json:"priority"`
 	// Targets is not empty.
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -43,8 +43,6 @@
 	heard, seen time.Time
 	// cancel ends its goroutine.
 	cancel context.CancelFunc
-	// spoke says that it has answered at some time.
-	spoke bool
 }
 
 // Gossiper exchanges state with all other gateways. It is safe for concurrent use.
@@ -55,8 +53,8 @@
 	servers *lister.Lister
 	crashes *quarantiner.Set
 	seeds   []netip.AddrPort
-	// onLive is told the number of live gateways, this one included.
-	onLive  func(int)
+	// onCount is told the number of gateways heard of lately, this one included.
+	onCount func(int)
 	mu      sync.Mutex
 	members map[netip.AddrPort]*member
 	// encoded is the catalog of encodedVersion as JSON.
@@ -66,9 +64,9 @@
 
 // New returns a Gossiper; own is this gateway's listener for peers, and seeds may
 // be stale.
-func New(own netip.AddrPort, seeds []netip.AddrPort, pool *connector.Pool, catalog *holder.Holder, servers *lister.Lister, crashes *quarantiner.Set, onLive func(int)) *Gossiper {
+func New(own netip.AddrPort, seeds []netip.AddrPort, pool *connector.Pool, catalog *holder.Holder, servers *lister.Lister, crashes *quarantiner.Set, onCount func(int)) *Gossiper {
 	return &Gossiper{
-		own: own, seeds: seeds, pool: pool, catalog: catalog, servers: servers, crashes: crashes, onLive: onLive,
+		own: own, seeds: seeds, pool: pool, catalog: catalog, servers: servers, crashes: crashes, onCount: onCount,
 		members: make(map[netip.AddrPort]*member),
 	}
 }
@@ -110,18 +108,17 @@
 			// Seeds are told with another port; peers listen on the same one everywhere.
 			g.add(netip.AddrPortFrom(seed.Addr(), g.own.Port()), now)
 		}
-		g.onLive(g.update(ctx, &wg, now))
+		g.onCount(g.update(ctx, &wg, now))
 		sleeper.Sleep(ctx, updatePause)
 	}
 }
 
 // update starts and ends goroutines as gateways come and go, and returns the
-// number of those that may be live: behind a cut others go on, with their share of
-// what all have together.
+// number of all that were heard of lately: behind a cut others go on, with their
+// share of what all have together.
 func (g *Gossiper) update(ctx context.Context, wg *sync.WaitGroup, now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	live := 1
 	for addr, m := range g.members {
 		if now.Sub(m.heard) > memberLife && !g.isSeed(addr) {
 			if m.cancel != nil {
@@ -137,11 +134,8 @@
 			m.heard = now.Add(-liveFor)
 			wg.Go(func() { g.follow(memberCtx, addr) })
 		}
-		if m.spoke {
-			live++
-		}
 	}
-	return live
+	return len(g.members) + 1
 }
 
 func (g *Gossiper) isSeed(addr netip.AddrPort) bool {
@@ -289,7 +283,7 @@
 func (g *Gossiper) take(m *encoder.GatewaySync, addr netip.AddrPort, now time.Time) {
 	g.mu.Lock()
 	if known := g.members[addr]; known != nil {
-		known.heard, known.seen, known.spoke = now, now, true
+		known.heard, known.seen = now, now
 	}
 	g.mu.Unlock()
 	g.AddGateways(m.GetGateways())
--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -74,7 +74,12 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	share := safety * (b.bound.Ratio*float64(requests) + b.bound.Slack/float64(b.gateways))
+	slack := b.bound.Slack / float64(b.gateways)
+	if now.Sub(b.start) < b.bound.Window {
+		// The other gateways are not known yet, and may all have just started too.
+		slack = 0
+	}
+	share := safety * (b.bound.Ratio*float64(requests) + slack)
 	if float64(repeats+1) > share {
 		return false
 	}
--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -122,6 +122,11 @@
 			// A resumed stream may begin with what the caller has.
 			continue
 		}
+		x.expectEvent(time.Now())
+		if err := a.conn.SetReadDeadline(x.eventBy); err != nil {
+			a.release(false, x.pool)
+			return x.handleUnknown(ctx, p, err)
+		}
 		if err := x.passEvent(a.resp, event, id); err != nil {
 			a.release(false, x.pool)
 			p.Finish(placer.Cancelled, time.Now())
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -92,9 +92,14 @@
 	if err != nil {
 		return &notSent{err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Abort() })
 	x.sent++
 	x.tried = append(x.tried, p.ID)
+	if err := conn.SetReadDeadline(x.eventBy); err != nil {
+		stop()
+		_ = conn.Close()
+		return &notSent{err: wrapper.At("set_deadline", p.ID, err)}
+	}
 	req := x.newRequest(p)
 	if err := x.write(conn, req); err != nil {
 		stop()
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -143,6 +143,8 @@
 	digest uint64
 	// until is when the caller or the route gives up.
 	until time.Time
+	// eventBy is when the next event of a stream is due; zero for other answers.
+	eventBy time.Time
 	// tried names the servers that were handed the request, in order.
 	tried []string
 	// sent counts the times the request was handed over.
@@ -179,11 +181,26 @@
 		wait = defaultWait
 	}
 	x.until = x.start.Add(wait)
+	x.expectEvent(x.start)
 	x.service = pickTarget(x.route.Targets)
 	x.budget.AddRequest(x.service, x.start)
 	return true
 }
 
+// patienceUsed is the part of a caller's patience after which a silent stream is
+// given up: the caller must hear of it before it leaves.
+const patienceUsed = 0.88
+
+// expectEvent sets when the next event is due.
+func (x *exchange) expectEvent(now time.Time) {
+	if x.route.Patience > 0 {
+		x.eventBy = now.Add(time.Duration(float64(x.route.Patience) * patienceUsed))
+	}
+}
+
+// isOverdue reports whether a stream has been silent for too long.
+func (x *exchange) isOverdue(now time.Time) bool { return !x.eventBy.IsZero() && now.After(x.eventBy) }
+
 // deny answers that the request is not allowed, if the catalog is recent enough
 // to say so.
 func (x *exchange) deny(status int, reason string) bool {
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -74,7 +74,7 @@
 			if !step.sent {
 				unsent++
 			}
-			if unsent > maxUnsent || step.sent && !x.mayRepeat() {
+			if x.r.Context().Err() != nil || x.isOverdue(time.Now()) || unsent > maxUnsent || step.sent && !x.mayRepeat() {
 				x.giveUp(ctx, last)
 				return
 			}
@@ -105,7 +105,7 @@
 	case x.mayHaveRun && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		x.fail(http.StatusGatewayTimeout, "no answer in time", 0)
 	case x.mayHaveRun && f.status < http.StatusInternalServerError, x.mayHaveRun && f.status == http.StatusServiceUnavailable:
-		x.fail(http.StatusBadGateway, f.reason, 0)
+		x.fail(http.StatusBadGateway, f.reason, f.after)
 	default:
 		x.fail(f.status, f.reason, f.after)
 	}
@@ -176,7 +176,7 @@
 	if ctx.Err() != nil {
 		return again{sent: true, fail: failure{status: http.StatusGatewayTimeout, reason: "no answer in time"}}
 	}
-	return again{sent: true, fail: failure{status: http.StatusBadGateway, reason: "connection to the backend server broke"}}
+	return again{sent: true, fail: failure{status: http.StatusBadGateway, reason: "connection to the backend server broke", after: notSentRetry}}
 }
 
 // logAttempt tells of an attempt that did not end in an answer.
--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -117,7 +117,7 @@
 		return period
 	}
 	if g.Held() != nil {
-		return b.handleHeld(ctx, g)
+		return b.handleHeld(ctx, g, own, engine)
 	}
 	b.heldSince = time.Time{}
 	if g.Armed() != nil {
@@ -146,7 +146,7 @@
 }
 
 // handleHeld waits for whoever holds a pass, and ends the hold if nobody does.
-func (b *Balancer) handleHeld(ctx context.Context, g commander.Group) time.Duration {
+func (b *Balancer) handleHeld(ctx context.Context, g commander.Group, own *commander.Status, engine *holder.Engine) time.Duration {
 	step := *g.Held().Held
 	now := time.Now()
 	if b.heldSince.IsZero() || b.heldStep != step {
@@ -155,9 +155,12 @@
 	if now.Sub(b.heldSince) < stuckAfter {
 		return stuckPoll
 	}
-	err := b.commander.Recover(ctx, g)
+	var present shifter.Placement
+	if b.learnPlacement(g, engine) {
+		present = b.placement
+	}
+	err := b.commander.Recover(ctx, g, own.Rank, now.Sub(b.heldSince), present)
 	log.Info("held pass ended", "event", "map_recovered", "pass", step, "held_for", now.Sub(b.heldSince), "error", err)
-	b.heldSince = time.Time{}
 	return stuckPoll
 }
 
@@ -173,7 +176,7 @@
 	if plan.Before-plan.After < max(minLoss, copySlowdown*copying.Seconds()/horizon.Seconds()) {
 		return
 	}
-	version := b.commander.NewVersion(g, own.Rank)
+	version := b.commander.NewVersion(g, own.Rank, time.Now())
 	err := b.commander.Change(ctx, g, own, version, plan.Placement)
 	if err == nil {
 		b.placement, b.knownVersion = plan.Placement, version
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -10,12 +10,17 @@
 //     sequence read there: of two leaders one wins. Versions are never used for
 //     two maps.
 //  2. Nothing is armed before every rank has reported the map as prepared, with
-//     the experts that were sent, and before a rank holds the pass.
+//     the experts that were sent, and before the leader's own rank holds the pass.
+//     Nobody arms the first rank under a hold of another leader, or of an earlier
+//     life: its release may be under way.
 //  3. The first rank is armed first. While it is not armed, no other rank is, and
-//     preparing a newer map there makes the older one impossible. Once it is
-//     armed, the change can only go forward, and whoever finds it may finish it.
-//  4. The pass is released only when every rank has confirmed that it is armed
-//     with this version for this pass, or when no rank can be armed any more.
+//     preparing a newer map there makes the older one impossible; the other ranks
+//     keep an older one until then. Once it is armed, the change can only go
+//     forward, and whoever finds it may finish it.
+//  4. A leader releases its own hold when every rank has confirmed that it is armed
+//     with this version for this pass, or when the first rank can't be armed with
+//     it any more. It releases the hold of another only when every rank is armed,
+//     or when it has made every older map impossible at the first rank.
 //  5. An order without an answer is sent again until its effect is seen. A copy
 //     that is carried out later finds its version not prepared, its pass begun,
 //     or the same state.
@@ -150,6 +155,8 @@
 	// firstAhead is how many passes ahead a change comes into force; it covers
 	// the orders of a change, some 10 ms, with one pass to spare.
 	firstAhead = 2
+	// idleSpread spreads the passes held while a group begins none.
+	idleSpread = 4
 	// holdTries bounds the tries to hold a pass before it begins.
 	holdTries = 4
 )
@@ -192,6 +199,17 @@
 	return nil
 }
 
+// holders returns all ranks that hold a pass.
+func (g Group) holders() []held {
+	var out []held
+	for _, s := range g {
+		if s.Held != nil {
+			out = append(out, held{Status: s, step: *s.Held})
+		}
+	}
+	return out
+}
+
 // Armed returns what the first rank is armed with, nil for nothing. By rule 3 no
 // other rank is armed while the first is not.
 func (g Group) Armed() *Armed { return g.First().Armed }
@@ -237,8 +255,10 @@
 	transport Transport
 	// ahead is how many passes ahead the next change comes into force.
 	ahead uint64
-	// lastStep is the highest pass that was held; passes are not held twice.
+	// lastStep is the highest pass that was held or seen; passes are not held twice.
 	lastStep uint64
+	// counter is that of the latest version made.
+	counter uint64
 	// random draws the low bits of versions.
 	random func() uint64
 }
@@ -248,16 +268,29 @@
 	return &Commander{transport: t, ahead: firstAhead, random: random}
 }
 
-// Version bits below the counter: the leader's rank, then random ones, so that no
-// two leaders, nor two lives of one, use a version twice.
+// Version bits below the time of day in milliseconds: the leader's rank, then
+// random ones, so that no two leaders, nor two lives of one, use a version twice.
+// Versions stay exact in the numbers of JSON.
 const (
-	rankBits   = 10
-	randomBits = 14
+	rankBits   = 7
+	randomBits = 5
 )
 
+const (
+	// refusedStep is added to the time when an engine refuses a version: it has
+	// had a higher one, under a clock that was ahead by seconds.
+	refusedStep = 1000
+	// behindSpread spreads the versions of a leader whose clock is behind.
+	behindSpread = 4096
+)
+
+// versionStart is when versions begin: later than none that this protocol made.
+var versionStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // NewVersion returns a version above every version that the ranks are known to
-// have had.
-func (c *Commander) NewVersion(g Group, leader int) uint64 {
+// have had. A group that has begun anew tells none of its old versions, so
+// versions follow the time of day.
+func (c *Commander) NewVersion(g Group, leader int, now time.Time) uint64 {
 	highest := uint64(0)
 	for _, s := range g {
 		highest = max(highest, s.Version)
@@ -265,7 +298,11 @@
 			highest = max(highest, *s.Prepared)
 		}
 	}
-	counter := highest>>(rankBits+randomBits) + 1
+	counter := uint64(max(now.Sub(versionStart).Milliseconds(), 1))
+	if behind := max(highest>>(rankBits+randomBits), c.counter); behind >= counter {
+		counter = behind + 1 + c.random()%behindSpread
+	}
+	c.counter = counter
 	return counter<<(rankBits+randomBits) | uint64(leader)<<randomBits | c.random()&(1<<randomBits-1)
 }
 
@@ -280,7 +317,13 @@
 	if err != nil {
 		return err
 	}
-	return c.finish(ctx, g, own, Armed{Version: version, Step: step})
+	return c.finish(ctx, g, []held{{Status: own, step: step}}, nil, Armed{Version: version, Step: step})
+}
+
+// held is a rank that holds a pass.
+type held struct {
+	*Status
+	step uint64
 }
 
 // prepare copies a map to all ranks, the first rank deciding among leaders.
@@ -288,45 +331,81 @@
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
 	first := g.First()
+	// Another leader's map may be prepared everywhere and about to be armed. Then
+	// the other ranks keep it until the first rank has given it up.
+	pending := first.Prepared != nil && *first.Prepared > first.Version
 	order := Prepare{Version: version, Placement: p}
-	sequence := first.Sequence
-	if err := c.insist(ctx, first, Directive{Order: order, Epoch: g.Epoch(), Sequence: &sequence}, func(s *Status) bool {
-		return s.Sequence == sequence+1 && (s.Busy || s.Prepared != nil && *s.Prepared == version)
-	}); err != nil {
+	if err := c.prepareFirst(ctx, g, order); err != nil {
 		return err
 	}
 	sent := make([]bool, len(g))
 	sent[0] = true
 	for {
 		all := c.readAll(ctx, g, Query{LeaderRank: first.Rank})
-		ready := true
-		for i, s := range all {
-			switch {
-			case s == nil:
-				ready = false
-			case s.Epoch != g.Epoch() || s.Broken:
-				return wrapper.At("prepare", s.Addr.String(), errOtherEpoch)
-			case s.Prepared != nil && *s.Prepared > version:
-				return wrapper.At("prepare", s.Addr.String(), errOtherMap)
-			case s.Prepared != nil && *s.Prepared == version:
-				if s.PreparedDigest != Digest(p, i) {
-					return wrapper.At("check_prepared", s.Addr.String(), errOtherMap)
-				}
-			default:
-				ready = false
-				sent[i] = sent[i] && s.Busy
-			}
+		ready, err := checkPrepared(g, all, sent, order)
+		if err != nil || ready {
+			return err
 		}
-		if ready {
-			return nil
+		if !pending || all[0] != nil && all[0].Prepared != nil && *all[0].Prepared == version {
+			c.sendAll(ctx, g, sent, Directive{Order: order, Epoch: g.Epoch()})
 		}
-		c.sendAll(ctx, g, sent, Directive{Order: order, Epoch: g.Epoch()})
 		if sleeper.Sleep(ctx, preparePoll); ctx.Err() != nil {
 			return wrapper.At("prepare", "", errPreparing)
 		}
 	}
 }
 
+// checkPrepared reports whether all ranks have prepared a map. A rank that has
+// neither it nor a copy in progress is to be sent the order again.
+func checkPrepared(g Group, all []*Status, sent []bool, order Prepare) (bool, error) {
+	ready := true
+	for i, s := range all {
+		switch {
+		case s == nil:
+			ready = false
+		case s.Epoch != g.Epoch() || s.Broken:
+			return false, wrapper.At("prepare", s.Addr.String(), errOtherEpoch)
+		case s.Prepared != nil && *s.Prepared > order.Version:
+			return false, wrapper.At("prepare", s.Addr.String(), errOtherMap)
+		case s.Prepared != nil && *s.Prepared == order.Version:
+			// A rank read from afar does not tell its experts.
+			if s.PreparedDigest != 0 && s.PreparedDigest != Digest(order.Placement, i) {
+				return false, wrapper.At("check_prepared", s.Addr.String(), errOtherMap)
+			}
+		default:
+			ready = false
+			sent[i] = sent[i] && s.Busy
+		}
+	}
+	return ready, nil
+}
+
+// prepareFirst begins to prepare a map at the first rank, unless another leader
+// has begun something there since it was read.
+func (c *Commander) prepareFirst(ctx context.Context, g Group, order Prepare) error {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	first := g.First()
+	if first.Busy {
+		return wrapper.At("prepare", first.Addr.String(), errOtherMap)
+	}
+	sequence := first.Sequence
+	err := c.insist(ctx, first, Directive{Order: order, Epoch: g.Epoch(), Sequence: &sequence}, func(s *Status) verdict {
+		switch {
+		case s.Prepared != nil && *s.Prepared == order.Version:
+			return done
+		case s.Sequence == sequence+1 && s.Busy:
+			// This order or another leader's.
+			return open
+		}
+		return missing
+	})
+	if errors.Is(err, ErrConflict) {
+		c.counter += refusedStep
+	}
+	return err
+}
+
 // sendAll sends an order to the ranks that have not taken it yet.
 func (c *Commander) sendAll(ctx context.Context, g Group, sent []bool, d Directive) {
 	var wg sync.WaitGroup
@@ -353,10 +432,15 @@
 		if s.Held != nil {
 			return 0, wrapper.At("hold", own.Addr.String(), ErrConflict)
 		}
-		step := max(s.Step+c.ahead, c.lastStep+1)
+		step := s.Step + c.ahead
+		if step <= c.lastStep {
+			// The group idles. A release of an earlier life may be under way for the
+			// pass that it held, so another one is drawn.
+			step = c.lastStep + 1 + c.random()%idleSpread
+		}
 		c.lastStep = step
-		err = c.insist(ctx, own, Directive{Order: Hold{Step: step}, Epoch: g.Epoch()}, func(s *Status) bool {
-			return s.Held != nil && *s.Held == step
+		err = c.insist(ctx, own, Directive{Order: Hold{Step: step}, Epoch: g.Epoch()}, func(s *Status) verdict {
+			return doneIf(s.Held != nil && *s.Held == step)
 		})
 		if err == nil {
 			return step, nil
@@ -369,19 +453,21 @@
 	return 0, wrapper.At("hold", own.Addr.String(), errOutrun)
 }
 
-// finish arms all ranks, the first one first, and releases the pass wherever it
-// is held.
-func (c *Commander) finish(ctx context.Context, g Group, holder *Status, a Armed) error {
+// finish arms all ranks, the first one first, and releases own holds and those of
+// others. An own hold must keep the pass from beginning.
+func (c *Commander) finish(ctx context.Context, g Group, own, others []held, a Armed) error {
 	start := time.Now()
 	armCtx, cancel := context.WithTimeout(ctx, armTimeout)
 	defer cancel()
-	isArmed := func(s *Status) bool { return s.Armed != nil && *s.Armed == a || s.Version == a.Version }
+	isArmed := func(s *Status) verdict {
+		return doneIf(s.Armed != nil && *s.Armed == a || s.Version == a.Version)
+	}
 	d := Directive{Order: Arm{Armed: a}, Epoch: g.Epoch()}
 	if err := c.insist(armCtx, g.First(), d, isArmed); err != nil {
 		if errors.Is(err, ErrConflict) {
 			// The first rank can't be armed with this version any more, so no rank
 			// is or will be.
-			return errors.Join(err, c.release(ctx, g, holder, a.Step))
+			return errors.Join(err, c.releaseAll(ctx, g, own))
 		}
 		return err
 	}
@@ -394,7 +480,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("%w: %w", errNotArmed, err)
 	}
-	if err := c.release(ctx, g, holder, a.Step); err != nil {
+	if err := c.releaseAll(ctx, g, append(own, others...)); err != nil {
 		return err
 	}
 	log.Info("pass released", "event", "map_released", "version", a.Version, "pass", a.Step, "epoch", g.Epoch(),
@@ -402,51 +488,107 @@
 	return nil
 }
 
+func (c *Commander) releaseAll(ctx context.Context, g Group, holders []held) error {
+	errs := make([]error, 0, len(holders))
+	for _, h := range holders {
+		errs = append(errs, c.release(ctx, g, h.Status, h.step))
+	}
+	return errors.Join(errs...)
+}
+
 func (c *Commander) release(ctx context.Context, g Group, holder *Status, step uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, armTimeout)
 	defer cancel()
-	return c.insist(ctx, holder, Directive{Order: Release{Step: step}, Epoch: g.Epoch()}, func(s *Status) bool {
-		return s.Held == nil || *s.Held != step
+	return c.insist(ctx, holder, Directive{Order: Release{Step: step}, Epoch: g.Epoch()}, func(s *Status) verdict {
+		return doneIf(s.Held == nil || *s.Held != step)
 	})
 }
 
-// Recover ends what another leader has left: it finishes a change that all ranks
-// have prepared, and releases a pass that is held for nothing.
-func (c *Commander) Recover(ctx context.Context, g Group) error {
-	holder := g.Held()
-	if holder == nil {
+// Recover ends what another leader has left: it finishes a change that has been
+// decided at the first rank, and makes any other impossible before it releases
+// what is held. heldFor is how long a pass has been seen as held, present the
+// placement in force, nil if it is not known.
+func (c *Commander) Recover(ctx context.Context, g Group, leader int, heldFor time.Duration, present shifter.Placement) error {
+	holders := g.holders()
+	if len(holders) == 0 {
 		return nil
 	}
-	step := *holder.Held
 	armed := g.Armed()
-	version, prepared := g.AllPrepared()
-	log.Warn("held pass found", "event", "map_recovery", "holder", holder.Addr, "pass", step, "epoch", g.Epoch(),
-		"armed", armed != nil, "all_prepared", prepared, "step", g.Step())
+	log.Warn("held pass found", "event", "map_recovery", "holder", holders[0].Addr, "holders", len(holders), "pass", holders[0].step,
+		"epoch", g.Epoch(), "armed", armed != nil, "step", g.Step(), "held_for", heldFor)
 	switch {
 	case armed != nil:
-		return c.finish(ctx, g, holder, *armed)
-	case prepared:
-		return c.finish(ctx, g, holder, Armed{Version: version, Step: step})
+		// Whoever armed the first rank keeps its hold until all ranks are armed.
+		return c.finish(ctx, g, nil, holders, *armed)
+	case present == nil:
+		return nil
+	}
+	return c.neutralise(ctx, g, leader, holders, present)
+}
+
+// neutralise makes every older map impossible by preparing the present placement
+// under a new version at the first rank, and releases all holds.
+func (c *Commander) neutralise(ctx context.Context, g Group, leader int, holders []held, present shifter.Placement) error {
+	version := c.NewVersion(g, leader, time.Now())
+	if err := c.prepareFirst(ctx, g, Prepare{Version: version, Placement: present}); err != nil {
+		return err
+	}
+	for {
+		s, err := c.read(ctx, g.First().Addr, Query{LeaderRank: leader})
+		switch {
+		case err != nil:
+		case s.Epoch != g.Epoch() || s.Armed != nil:
+			return wrapper.At("neutralise", s.Addr.String(), ErrConflict)
+		case s.Prepared != nil && *s.Prepared == version:
+			return c.releaseAll(ctx, g, holders)
+		}
+		if sleeper.Sleep(ctx, retryPause); ctx.Err() != nil {
+			return wrapper.At("neutralise", g.First().Addr.String(), errPreparing)
+		}
+	}
+}
+
+// verdict says what a status tells of an order's effect.
+type verdict int
+
+const (
+	// missing: the order has had no effect.
+	missing verdict = iota
+	// open: it may have had one.
+	open
+	// done: the state is the one ordered.
+	done
+)
+
+func doneIf(ok bool) verdict {
+	if ok {
+		return done
 	}
-	return c.release(ctx, g, holder, step)
+	return missing
 }
 
 // insist sends an order until it is accepted, its effect is seen, it does not fit
 // any more, or ctx ends.
-func (c *Commander) insist(ctx context.Context, s *Status, d Directive, seen func(*Status) bool) error {
+func (c *Commander) insist(ctx context.Context, s *Status, d Directive, judge func(*Status) verdict) error {
 	for {
 		err := c.send(ctx, s, d)
 		if err == nil {
 			return nil
 		}
 		now, readErr := c.read(ctx, s.Addr, Query{LeaderRank: s.Rank})
-		switch {
-		case readErr == nil && (now.Epoch != d.Epoch || now.Broken):
-			return wrapper.At("order", s.Addr.String(), errOtherEpoch)
-		case readErr == nil && seen(now):
-			return nil
-		case errors.Is(err, ErrConflict) && readErr == nil:
-			return wrapper.At("order", s.Addr.String(), err)
+		if readErr == nil {
+			if now.Epoch != d.Epoch || now.Broken {
+				return wrapper.At("order", s.Addr.String(), errOtherEpoch)
+			}
+			switch judge(now) {
+			case done:
+				return nil
+			case missing:
+				if errors.Is(err, ErrConflict) {
+					return wrapper.At("order", s.Addr.String(), err)
+				}
+			case open:
+			}
 		}
 		if sleeper.Sleep(ctx, retryPause); ctx.Err() != nil {
 			return wrapper.At("order", s.Addr.String(), err)
