Change maps further ahead while orders get lost; send callers back later after an outage

Change: a lost order in the copying phase puts the pass five ahead; tries of an order take 25 ms on the own instance; a broken group's Retry-After begins at 2 s and never asks for more than a third of the caller's time.

--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -239,7 +239,7 @@
 		return &Refused{Reason: "no backend server left", After: defaultRetry}
 	}
 	if best.isBroken(now) {
-		return &Refused{Reason: "model group is broken", After: p.repairedAfter(w.Service, now)}
+		return &Refused{Reason: "model group is broken", After: p.repairedAfter(w, now)}
 	}
 	if limit := p.limit(best); best.estimate(now) >= limit {
 		return &Refused{Reason: "all places are taken", After: p.freeAfter(best)}
@@ -289,25 +289,27 @@
 }
 
 // repairedAfter is when a broken service is expected to run again: an outage that
-// has lasted for some time is expected to last as long again. Returns are spread.
-func (p *Placer) repairedAfter(service string, now time.Time) time.Duration {
-	since, ok := p.brokenSince[service]
+// has lasted for some time is expected to last as long again, and none is over
+// before the lost rank is back. Returns are spread.
+func (p *Placer) repairedAfter(w Work, now time.Time) time.Duration {
+	since, ok := p.brokenSince[w.Service]
 	if !ok {
 		since = now
-		p.brokenSince[service] = now
-		log.Warn("model group broken", "event", "group_broken", "service", service)
+		p.brokenSince[w.Service] = now
+		log.Warn("model group broken", "event", "group_broken", "service", w.Service)
 	}
-	after := min(max(now.Sub(since), leastRepair), mostRepair)
-	return time.Duration(float64(after) * (1 + repairSpread*rand.Float64()))
+	after := max(now.Sub(since), leastRepair)
+	return min(after, time.Duration(float64(w.Until.Sub(now))*waitFraction)) - time.Duration(repairSpread*rand.Float64()*float64(leastRepair))
 }
 
 const (
-	// leastRepair is the time in which a group forms again.
-	leastRepair = 700 * time.Millisecond
-	// mostRepair is the most that callers with the usual deadlines wait for.
-	mostRepair = 2500 * time.Millisecond
+	// leastRepair is about the time in which a lost rank is back and the group has
+	// formed again.
+	leastRepair = 2 * time.Second
+	// waitFraction is the part of its time that a caller waits before it comes back.
+	waitFraction = 1.0 / 3
 	// repairSpread spreads the returns over a part of the wait.
-	repairSpread = 0.3
+	repairSpread = 0.2
 )
 
 // ejectedScore is above the score of any server in use.
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -32,6 +32,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -139,7 +140,7 @@
 // Times of a change.
 const (
 	// orderTimeout bounds one try of an order; an engine answers in about 2 ms.
-	orderTimeout = 120 * time.Millisecond
+	orderTimeout = 60 * time.Millisecond
 	// readTimeout bounds one reading of an engine.
 	readTimeout = 250 * time.Millisecond
 	// prepareTimeout bounds the copies of one change: a dozen experts at 35 ms
@@ -152,9 +153,14 @@
 	armTimeout = 6 * time.Second
 	// retryPause is the pause before an order is sent again.
 	retryPause = 10 * time.Millisecond
-	// firstAhead is how many passes ahead a change comes into force; it covers
+	// leastAhead is how many passes ahead a change comes into force; it covers
 	// the orders of a change, some 10 ms, with one pass to spare.
-	firstAhead = 2
+	leastAhead = 2
+	// lossAhead is used while orders get lost: four passes cover several tries, so
+	// that the group need not wait for the last rank.
+	lossAhead = 5
+	// mostAhead bounds it: the old map costs more with each pass.
+	mostAhead = 8
 	// idleSpread spreads the passes held while a group begins none.
 	idleSpread = 4
 	// holdTries bounds the tries to hold a pass before it begins.
@@ -255,6 +261,8 @@
 	transport Transport
 	// ahead is how many passes ahead the next change comes into force.
 	ahead uint64
+	// lost says that an order went unanswered since the latest change.
+	lost atomic.Bool
 	// lastStep is the highest pass that was held or seen; passes are not held twice.
 	lastStep uint64
 	// counter is that of the latest version made.
@@ -265,7 +273,7 @@
 
 // New returns a Commander; random draws any number.
 func New(t Transport, random func() uint64) *Commander {
-	return &Commander{transport: t, ahead: firstAhead, random: random}
+	return &Commander{transport: t, ahead: leastAhead, random: random}
 }
 
 // Version bits below the time of day in milliseconds: the leader's rank, then
@@ -313,6 +321,11 @@
 	if err := c.prepare(ctx, g, version, p); err != nil {
 		return err
 	}
+	if c.lost.Swap(false) {
+		c.ahead = max(c.ahead, lossAhead)
+	} else {
+		c.ahead = max(c.ahead-1, leastAhead)
+	}
 	step, err := c.hold(ctx, g, own)
 	if err != nil {
 		return err
@@ -448,7 +461,7 @@
 		if !errors.Is(err, ErrConflict) {
 			return 0, err
 		}
-		c.ahead++
+		c.ahead = min(c.ahead+1, mostAhead)
 	}
 	return 0, wrapper.At("hold", own.Addr.String(), errOutrun)
 }
@@ -600,6 +613,9 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := c.transport.Send(ctx, s.Addr, d)
+	if err != nil && !errors.Is(err, ErrConflict) {
+		c.lost.Store(true)
+	}
 	if err != nil {
 		log.Info("order not confirmed", "event", "order", "engine", s.Addr, "rank", s.Rank, "order", fmt.Sprintf("%T", d.Order),
 			"epoch", d.Epoch, "error", err)
--- a/internal/group/messenger/messenger.go
+++ b/internal/group/messenger/messenger.go
@@ -102,6 +102,8 @@
 // Send implements commander.Transport.
 func (m *Messenger) Send(ctx context.Context, engine netip.AddrPort, d commander.Directive) error {
 	if engine == m.own {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
 		return m.engine.Send(ctx, d)
 	}
 	near, cancel := shorten(ctx)
@@ -153,7 +155,7 @@
 
 // orderTimeout bounds an order to this instance's engine. It is told as open
 // before whoever gave it turns to the engine itself.
-const orderTimeout = 50 * time.Millisecond
+const orderTimeout = 25 * time.Millisecond
 
 func newResult(err error) *encoder.EngineResult {
 	switch {
