--- a/internal/group/shifter/shifter.go
+++ b/internal/group/shifter/shifter.go
@@ -55,11 +55,16 @@
 
 // Limits of the search.
 const (
-	// maxSteps bounds the steps for one set.
+	// maxSteps bounds the steps for one set, maxVain those without a better end.
 	maxSteps = 120
-	// minGain is the relative lowering of a set's highest load that is worth one
-	// more copy: a copy moves hundreds of megabytes, and both users price that.
-	minGain = 0.03
+	maxVain  = 12
+	// minGain is the relative lowering of the cost below which a step is none.
+	minGain = 0.0005
+	// copyPrice is the skew that one copy must save: it moves hundreds of megabytes,
+	// and both users price that.
+	copyPrice = 0.04
+	// rounding is that of sums in another order.
+	rounding = 1e-9
 )
 
 // Next plans from the present placement for a demand by set and expert.
@@ -152,22 +157,67 @@
 	e, to, from, out, in int
 }
 
-// improve lowers the highest load until nothing more pays.
+// improve follows the steepest way down and stops where skew and copies together
+// cost the least. Several ranks may have to give before the highest load falls.
 func (s *state) improve() {
-	for range maxSteps {
-		before, highest := s.cost(), s.load[s.heaviest()]
-		best, bestCost := change{e: -1}, before
-		for _, c := range s.candidates() {
-			s.apply(c)
-			if cost := s.cost(); cost < bestCost && s.load[s.heaviest()] <= highest {
-				best, bestCost = c, cost
+	best, bestWorth := s.snapshot(), s.worth()
+	for step, bestStep := 0, 0; step < maxSteps && step-bestStep < maxVain; step++ {
+		c, ok := s.steepest()
+		if !ok {
+			break
+		}
+		s.apply(c)
+		if worth := s.worth(); worth < bestWorth {
+			best, bestWorth, bestStep = s.snapshot(), worth, step
+		}
+	}
+	s.restore(best)
+}
+
+// worth is what skew and copies cost together, in units of skew.
+func (s *state) worth() float64 {
+	copies, _ := s.copies()
+	return s.skew() + copyPrice*float64(copies)
+}
+
+// steepest finds the change that lowers the highest load the most.
+func (s *state) steepest() (change, bool) {
+	before, highest := s.cost(), s.load[s.heaviest()]
+	best, bestCost := change{e: -1}, before
+	for _, c := range s.candidates() {
+		s.apply(c)
+		if cost := s.cost(); cost < bestCost && s.load[s.heaviest()] <= highest*(1+rounding) {
+			best, bestCost = c, cost
+		}
+		s.revert(c)
+	}
+	return best, best.e >= 0 && bestCost < before*(1-minGain)
+}
+
+// snapshot copies which rank holds which expert.
+func (s *state) snapshot() [][]bool {
+	out := make([][]bool, len(s.has))
+	for r := range s.has {
+		out[r] = append([]bool(nil), s.has[r]...)
+	}
+	return out
+}
+
+// restore goes back to a snapshot.
+func (s *state) restore(has [][]bool) {
+	for r := range has {
+		for e, want := range has[r] {
+			if want && !s.has[r][e] {
+				s.add(r, e)
 			}
-			s.revert(c)
 		}
-		if best.e < 0 || bestCost > before*(1-minGain) {
-			return
+	}
+	for r := range has {
+		for e, want := range has[r] {
+			if !want && s.has[r][e] {
+				s.drop(r, e)
+			}
 		}
-		s.apply(best)
 	}
 }
 
--- a/internal/group/shifter/shifter_test.go
+++ b/internal/group/shifter/shifter_test.go
@@ -14,8 +14,6 @@
 	testSets    = 4
 	testExperts = 72
 	testRanks   = 12
-	// rounding is that of sums in another order.
-	rounding = 1e-9
 )
 
 func inTurn() Placement {
