--- a/internal/fleet/subscriber/publisher.go
+++ b/internal/fleet/subscriber/publisher.go
@@ -121,7 +121,7 @@
 		Address: p.addr.String(), StartedMillis: s.Started.UnixMilli(), Running: uint32(s.Running), Waiting: uint32(s.Waiting),
 		Memory: uint64(s.Memory), Broken: s.Broken, Step: s.Step, PassMicros: uint64(p.pass.Microseconds()),
 		Gateways: p.liveGateways(now), SlownessMilli: uint32(s.Slowness * slownessUnit),
-		Stalled: p.stalled,
+		Stalled: p.stalled, Group: s.Group,
 	}
 	if old := p.load; old.GetBroken() != load.GetBroken() || old.GetSlownessMilli() != load.GetSlownessMilli() ||
 		old.GetStalled() != load.GetStalled() {
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -137,7 +137,7 @@
 func (s *Subscriber) takeLoad(load *encoder.EngineLoad, engine netip.AddrPort, now time.Time) {
 	s.placer.SetEngineLoad(engine, time.UnixMilli(load.GetStartedMillis()), placer.Load{
 		Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Memory: int(load.GetMemory()), Broken: load.GetBroken(),
-		Pass: time.Duration(load.GetPassMicros()) * time.Microsecond, At: now, Stalled: load.GetStalled(),
+		Pass: time.Duration(load.GetPassMicros()) * time.Microsecond, At: now, Stalled: load.GetStalled(), Group: load.GetGroup(),
 		Slowness: float64(load.GetSlownessMilli()) / slownessUnit,
 	})
 	s.onGateways(load.GetGateways())
--- a/internal/gateway/placer/outage.go
+++ b/internal/gateway/placer/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -27,20 +28,58 @@
 	probed time.Time
 }
 
-// isBroken reports whether the server's group is known to run nothing.
-func (s *server) isBroken(now time.Time) bool {
-	return s.load.Broken && now.Sub(s.load.At) < reportLife
+// group is what its ranks say of it. One rank's word holds for all: behind a cut
+// the others are silent.
+type group struct {
+	broken, stalled map[netip.AddrPort]time.Time
 }
 
-// isStalled reports whether the server's group is known to make no passes.
-func (s *server) isStalled(now time.Time) bool {
-	return s.load.Stalled && now.Sub(s.load.At) < reportLife
+// getGroup returns a group by name.
+func (p *Placer) getGroup(name string) *group {
+	g := p.groups[name]
+	if g == nil {
+		g = &group{broken: make(map[netip.AddrPort]time.Time), stalled: make(map[netip.AddrPort]time.Time)}
+		p.groups[name] = g
+	}
+	return g
+}
+
+// note takes in one rank's word.
+func (g *group) note(rank netip.AddrPort, load Load) {
+	delete(g.broken, rank)
+	delete(g.stalled, rank)
+	if load.Broken {
+		g.broken[rank] = load.At
+	}
+	if load.Stalled {
+		g.stalled[rank] = load.At
+	}
+}
+
+// anyFresh reports whether a rank's word is recent enough to hold.
+func anyFresh(words map[netip.AddrPort]time.Time, now time.Time) bool {
+	for _, at := range words {
+		if now.Sub(at) < reportLife {
+			return true
+		}
+	}
+	return false
+}
+
+// standsStill reports whether a server's group is known to run nothing, or to make
+// no passes.
+func (p *Placer) standsStill(s *server, now time.Time) (broken, stalled bool) {
+	g := p.groups[s.load.Group]
+	if g == nil || s.load.At.IsZero() {
+		return false, false
+	}
+	return anyFresh(g.broken, now), anyFresh(g.stalled, now)
 }
 
 // checkOutage refuses work for a service of which even the best server stands
 // still, but for a few requests that try whether it goes on.
 func (p *Placer) checkOutage(best *server, w Work, now time.Time) *Refused {
-	broken, stalled := best.isBroken(now), best.isStalled(now)
+	broken, stalled := p.standsStill(best, now)
 	if !broken && !stalled {
 		if p.outages[w.Service] != nil {
 			log.Info("service runs again", "event", "outage_over", "service", w.Service, "after", now.Sub(p.outages[w.Service].since))
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -22,6 +22,8 @@
 	Waiting int
 	// Memory is the tokens in memory that can't be given up.
 	Memory int
+	// Group names the engines that run in lock-step with this one.
+	Group string
 	// Broken says that the server's group runs nothing, Stalled that it has begun
 	// no pass for long.
 	Broken, Stalled bool
@@ -129,6 +131,8 @@
 	byService map[string][]*server
 	engines   map[string]*holder.Engine
 	outages   map[string]*outage
+	// groups holds the word of each rank on its group.
+	groups map[string]*group
 	// callers is kept by route.
 	callers map[string]*callers
 }
@@ -137,7 +141,7 @@
 func New() *Placer {
 	return &Placer{
 		servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine),
-		outages: make(map[string]*outage), callers: make(map[string]*callers),
+		outages: make(map[string]*outage), groups: make(map[string]*group), callers: make(map[string]*callers),
 	}
 }
 
@@ -199,6 +203,7 @@
 	for _, s := range p.servers {
 		if s.Addr == addr && s.Started.Equal(started) && !load.At.Before(s.load.At) {
 			s.load, s.delta = load, 0
+			p.getGroup(load.Group).note(addr, load)
 		}
 	}
 }
@@ -229,7 +234,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.byService[service] {
-		if !s.isBroken(now) && !s.isStalled(now) {
+		if broken, stalled := p.standsStill(s, now); !broken && !stalled {
 			return true
 		}
 	}
--- a/internal/gateway/placer/placer_test.go
+++ b/internal/gateway/placer/placer_test.go
@@ -284,3 +284,20 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(next.Estimate, qt.Equals, 0)
 }
+
+// TestOneRanksWordHoldsForItsGroup cuts this gateway's zone off: the ranks of other
+// zones fall silent, and the one at hand says that the group is broken.
+func TestOneRanksWordHoldsForItsGroup(t *testing.T) {
+	c := qt.New(t)
+	p := newEngines(3, start)
+	now := start.Add(4 * time.Second)
+	p.SetEngineLoad(addr(0), time.Time{}, Load{Broken: true, At: now})
+	_, ok := p.Place(streamWork(now), now).(*Refused)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(p.IsRunning("llm", now), qt.IsFalse)
+	p.SetEngineLoad(addr(0), time.Time{}, Load{At: now.Add(time.Second)})
+	v, ok := p.Place(streamWork(now), now.Add(time.Second)).(*Placed)
+	c.Assert(ok, qt.IsTrue)
+	// Those that are silent are taken last.
+	c.Assert(v.ID, qt.Equals, "e0")
+}
--- a/internal/gateway/placer/score.go
+++ b/internal/gateway/placer/score.go
@@ -19,10 +19,16 @@
 	failureScore = 2.0
 	// ejectedScore is above the score of any server in use.
 	ejectedScore = 1e6
+	// silentScore is above that of a server that reports, and below ejection.
+	silentScore = 1e3
 	// stillScore is above that of an ejected server.
 	stillScore = 1e9
 )
 
+// silentReport is the age at which a report is overdue: it is told twice a second
+// even while nothing changes.
+const silentReport = 1300 * time.Millisecond
+
 // mostPrompts bounds the prompts that are thought to be read in one pass.
 const mostPrompts = 2
 
@@ -121,9 +127,12 @@
 	if now.Before(s.ejectedUntil) {
 		score += ejectedScore
 	}
-	if s.isBroken(now) || s.isStalled(now) {
+	if broken, stalled := p.standsStill(s, now); broken || stalled {
 		score += stillScore
 	}
+	if p.engines[s.Service] != nil && now.Sub(s.load.At) > silentReport {
+		score += silentScore
+	}
 	return score
 }
 
