Engines that refuse with room tell that their group is not formed; explain from logs; metrics

Change: a refusal by an engine that had room counts as a stall of its service for 400 ms, tried again now and then. Counters and histograms of ends.

--- a/cmd/siskinfall/operate.go
+++ b/cmd/siskinfall/operate.go
@@ -124,10 +124,14 @@
 
 type explainRequestCmd struct {
 	target
-	RequestID string `arg:"positional,required" help:"X-Request-Id of the answer"`
+	RequestID string   `arg:"positional,required" help:"X-Request-Id of the answer"`
+	Logs      []string `arg:"--logs" help:"log files of any processes to explain it from; - is standard input"`
 }
 
 func (c *explainRequestCmd) run() error {
+	if len(c.Logs) > 0 {
+		return c.explainLogs()
+	}
 	var v recorder.View
 	if err := c.client().Get(context.Background(), "/v1/explain/"+url.PathEscape(c.RequestID), &v); err != nil {
 		return err
--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -144,6 +144,7 @@
 		x.passed = true
 		resp.ContentLength = -1
 		x.writeHead(resp, false, 0)
+		firstSeconds.Update(time.Since(x.start).Seconds())
 	}
 	if _, err := x.w.Write(event); err != nil {
 		return err
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"siskinfall/internal/backend/dialer"
 	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/placer"
 	"siskinfall/internal/gateway/quarantiner"
@@ -149,6 +150,8 @@
 	eventBy time.Time
 	// tried names the servers that were handed the request, in order.
 	tried []string
+	// placed is the latest place, nil before the first.
+	placed *placer.Placed
 	// sent counts the times the request was handed over.
 	sent int
 	// lastEvent is the last event passed on, and passed says whether the head was.
@@ -278,8 +281,20 @@
 	x.fail(status, reason, after)
 }
 
+// promisesNotRun reports whether a status says that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // fail ends a request without an answer of a backend server.
 func (x *exchange) fail(status int, reason string, after time.Duration) {
+	if promisesNotRun(status) && asserter.Holds(!x.mayHaveRun, asserter.RuleNotRun, "request %s, status %d, %s", x.ID, status, reason) != nil {
+		status = http.StatusBadGateway
+	}
 	x.codec.EncodeRefusal(x.w.Header(), x.ID, after)
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	x.w.WriteHeader(status)
@@ -287,14 +302,20 @@
 	x.logEnd(status, reason, after)
 }
 
+// logEnd tells how a request ended, and counts it.
 func (x *exchange) logEnd(status int, reason string, after time.Duration) {
 	route := ""
 	if x.route != nil {
 		route = x.route.Name
 	}
+	took := time.Since(x.start)
+	countEnd(status, took)
 	kv := []any{
 		"event", "ended", "request", x.ID, "status", status, "reason", reason, "route", route, "service", x.service,
-		"took", time.Since(x.start), "sent", x.sent, "tried", x.tried, "catalog", x.catalog.GetVersion(),
+		"took", took, "sent", x.sent, "tried", x.tried, "catalog", x.catalog.GetVersion(),
+	}
+	if x.placed != nil {
+		kv = append(kv, "server", x.placed.ID, "estimate", x.placed.Estimate, "report_age", x.placed.Age)
 	}
 	if after > 0 {
 		kv = append(kv, "retry_after", after)
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -66,6 +66,7 @@
 			x.giveUp(ctx, last)
 			return
 		case *placer.Placed:
+			x.placed = v
 			step, ok := x.try(ctx, v).(again)
 			if !ok {
 				return
@@ -88,7 +89,14 @@
 	if x.mayHaveRun && !x.route.IsRepeatable() {
 		return false
 	}
-	return x.sent < x.route.MaxAttempts && time.Now().Before(x.until) && x.budget.TakeRepeat(x.service, time.Now())
+	if x.sent >= x.route.MaxAttempts || !time.Now().Before(x.until) || !x.budget.TakeRepeat(x.service, time.Now()) {
+		return false
+	}
+	repeats.Inc()
+	if x.passed {
+		resumed.Inc()
+	}
+	return true
 }
 
 // giveUp answers a request that no server answers.
--- a/internal/gateway/placer/outage.go
+++ b/internal/gateway/placer/outage.go
@@ -69,11 +69,28 @@
 // standsStill reports whether a server's group is known to run nothing, or to make
 // no passes.
 func (p *Placer) standsStill(s *server, now time.Time) (broken, stalled bool) {
+	stalled = now.Before(p.shed[s.Service])
 	g := p.groups[s.load.Group]
 	if g == nil || s.load.At.IsZero() {
-		return false, false
+		return false, stalled
+	}
+	return anyFresh(g.broken, now), stalled || anyFresh(g.stalled, now)
+}
+
+// shedLife is how long an engine's refusal speaks for its service: long enough for
+// reports to come, shorter than the pause between two tries.
+const shedLife = 400 * time.Millisecond
+
+// noteShed learns from an engine that refuses work although it has room: its group
+// has not formed yet, or not again. That is known before any report after a start.
+func (p *Placer) noteShed(s *server, estimate int, outcome Outcome, now time.Time) {
+	switch {
+	case p.engines[s.Service] == nil:
+	case outcome == Served:
+		delete(p.shed, s.Service)
+	case outcome == Rejected && estimate < s.Slots:
+		p.shed[s.Service] = now.Add(shedLife)
 	}
-	return anyFresh(g.broken, now), anyFresh(g.stalled, now)
 }
 
 // checkOutage refuses work for a service of which even the best server stands
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -101,6 +101,11 @@
 	Misdirected
 )
 
+// String implements fmt.Stringer.
+func (o Outcome) String() string {
+	return [...]string{"served", "failed", "lost", "rejected", "unreachable", "cancelled", "misdirected"}[o]
+}
+
 // reportLife is how long a report is believed.
 const reportLife = 3 * time.Second
 
@@ -133,6 +138,9 @@
 	outages   map[string]*outage
 	// groups holds the word of each rank on its group.
 	groups map[string]*group
+	// shed holds until when engines of a service are taken for stalled because one
+	// refused work that it had room for.
+	shed map[string]time.Time
 	// callers is kept by route.
 	callers map[string]*callers
 }
@@ -142,6 +150,7 @@
 	return &Placer{
 		servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine),
 		outages: make(map[string]*outage), groups: make(map[string]*group), callers: make(map[string]*callers),
+		shed: make(map[string]time.Time),
 	}
 }
 
@@ -270,8 +279,9 @@
 	s.own--
 	s.delta--
 	s.note(outcome, now)
+	x.placer.noteShed(s, x.Estimate, outcome, now)
 	if now.Before(s.ejectedUntil) {
-		log.Info("backend server ejected", "event", "ejected", "server", s.ID, "failures", s.failures, "outcome", outcome,
+		log.Info("backend server ejected", "event", "ejected", "server", s.ID, "failures", s.failures, "outcome", outcome.String(),
 			"for", s.ejection, "own", s.own, "failure_rate", s.rate)
 	}
 }
--- a/internal/gateway/placer/placer_test.go
+++ b/internal/gateway/placer/placer_test.go
@@ -301,3 +301,25 @@
 	// Those that are silent are taken last.
 	c.Assert(v.ID, qt.Equals, "e0")
 }
+
+// TestGroupThatIsNotFormedIsNotFlooded is the first second after all machines have
+// lost power: no reports yet, engines that refuse, and everybody who comes back.
+func TestGroupThatIsNotFormedIsNotFlooded(t *testing.T) {
+	c := qt.New(t)
+	p := newEngines(3, start.Add(-time.Minute))
+	sent := 0
+	for ms := 0; ms < 2000; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if v, ok := p.Place(streamWork(now), now).(*Placed); ok {
+			sent++
+			v.Finish(Rejected, now)
+		}
+	}
+	c.Assert(sent <= 6, qt.IsTrue, qt.Commentf("%d", sent))
+	now := start.Add(4 * time.Second)
+	v, ok := p.Place(streamWork(now), now).(*Placed)
+	c.Assert(ok, qt.IsTrue)
+	v.Finish(Served, now)
+	_, ok = p.Place(streamWork(now), now).(*Placed)
+	c.Assert(ok, qt.IsTrue)
+}
