--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -315,7 +315,7 @@
 		"took", took, "sent", x.sent, "tried", x.tried, "catalog", x.catalog.GetVersion(),
 	}
 	if x.placed != nil {
-		kv = append(kv, "server", x.placed.ID, "estimate", x.placed.Estimate, "report_age", x.placed.Age)
+		kv = append(kv, "server", x.placed.ID, "estimate", x.placed.Estimate, "report_age", x.placed.ReportAge())
 	}
 	if after > 0 {
 		kv = append(kv, "retry_after", after)
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -190,5 +190,5 @@
 // logAttempt tells of an attempt that did not end in an answer.
 func (x *exchange) logAttempt(p *placer.Placed, result string, err error) {
 	log.Info("attempt ended", "event", "attempt", "request", x.ID, "server", p.ID, "service", x.service, "result", result,
-		"estimate", p.Estimate, "report_age", p.Age, "sent", x.sent, "last_event", x.lastEvent, "error", err)
+		"estimate", p.Estimate, "report_age", p.ReportAge(), "sent", x.sent, "last_event", x.lastEvent, "error", err)
 }
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -63,13 +63,23 @@
 type Placed struct {
 	lister.Server
 	// Estimate is the number of requests that the server is believed to have, own
-	// ones that it has not reported included; Age is that of the report.
+	// ones that it has not reported included; Reported is when it reported, zero if
+	// it never has.
 	Estimate int
-	Age      time.Duration
+	Reported time.Time
+	decided  time.Time
 	server   *server
 	placer   *Placer
 }
 
+// ReportAge tells the age of the report behind the decision, "none" without one.
+func (x *Placed) ReportAge() string {
+	if x.Reported.IsZero() {
+		return "none"
+	}
+	return x.decided.Sub(x.Reported).String()
+}
+
 // Refused turns a request away.
 type Refused struct {
 	Reason string
@@ -265,7 +275,7 @@
 	if r := p.checkRoom(best, w, returned, now); r != nil {
 		return r
 	}
-	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), Age: now.Sub(best.load.At), server: best, placer: p}
+	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), Reported: best.load.At, decided: now, server: best, placer: p}
 	best.own++
 	best.delta++
 	return placed
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -159,6 +159,10 @@
 	// lossAhead is used while orders get lost: four passes cover several tries, so
 	// that the group need not wait for the last rank.
 	lossAhead = 5
+	// slowArming is an arming so slow that the group waited for it, and slowStep the
+	// passes added then; a pass takes some 60 ms.
+	slowArming = 150 * time.Millisecond
+	slowStep   = 2
 	// mostAhead bounds it: the old map costs more with each pass.
 	mostAhead = 8
 	// idleSpread spreads the passes held while a group begins none.
@@ -496,6 +500,9 @@
 	if err := c.releaseAll(ctx, g, append(own, others...)); err != nil {
 		return err
 	}
+	if time.Since(start) > slowArming {
+		c.ahead = min(c.ahead+slowStep, mostAhead)
+	}
 	log.Info("pass released", "event", "map_released", "version", a.Version, "pass", a.Step, "epoch", g.Epoch(),
 		"armed_in", time.Since(start), "ahead", c.ahead)
 	return nil
