--- a/internal/report/logger/logger_test.go
+++ b/internal/report/logger/logger_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -47,3 +50,14 @@
 	defer out.mu.Unlock()
 	c.Assert(out.buf.String(), qt.Contains, `"event":"log_dropped"`)
 }
+
+// BenchmarkEndOfRequest is the line that each request costs.
+func BenchmarkEndOfRequest(b *testing.B) {
+	l := log.NewWithOptions(New(io.Discard), log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter})
+	l = l.With("instance", "gateway-1", "availability_zone", "zone-a")
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Info("request ended", "event", "ended", "request", "9c41d07be2a35f68", "status", 200, "reason", "answered", "route", "r-1",
+			"service", "llm", "took", time.Second, "sent", 1, "tried", []string{"i-1"}, "catalog", 7, "server", "i-1", "estimate", 8, "report_age", "12ms")
+	}
+}
