Rounds of large groups further apart; commander and soak split by topic

Change: time-outs grow with the ranks, rounds come every 0.75 s there, and gateways in fleets over 12 wait longer at the store's feeds.

--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -39,6 +40,11 @@
 	// waitTime is how long a call waits for a change. Each call has a price, and
 	// the instances pass changes on to each other meanwhile.
 	waitTime = 4 * time.Second
+	// waitGateways is the number of gateways from which each waits longer: together
+	// they hear of a change as soon, and each call counts against the store's rate.
+	waitGateways = 12
+	// mostWait bounds that; the store allows 30 s.
+	mostWait = 16 * time.Second
 	// firstPause and mostPause bound the pause after a failure. The longest keeps
 	// the return of the store unnoticed for less than half of the time in which
 	// a change has to be in force.
@@ -51,6 +57,16 @@
 	source  Source
 	catalog *holder.Holder
 	servers *lister.Lister
+	// gateways is how many share the news.
+	gateways atomic.Int64
+}
+
+// SetGateways says among how many gateways news is shared.
+func (w *Watcher) SetGateways(n int) { w.gateways.Store(int64(n)) }
+
+// wait is how long a call waits for a change.
+func (w *Watcher) wait() time.Duration {
+	return min(max(waitTime*time.Duration(w.gateways.Load())/waitGateways, waitTime), mostWait)
 }
 
 // New returns a Watcher that keeps catalog and servers up to date.
@@ -60,13 +76,13 @@
 
 // RunCatalog follows the catalog until ctx ends.
 func (w *Watcher) RunCatalog(ctx context.Context) {
-	f := follower{name: "catalog", get: w.readCatalog, watch: w.watchCatalog}
+	f := follower{name: "catalog", wait: w.wait, get: w.readCatalog, watch: w.watchCatalog}
 	f.run(ctx)
 }
 
 // RunServers follows the backend servers until ctx ends.
 func (w *Watcher) RunServers(ctx context.Context) {
-	f := follower{name: "servers", get: w.readServers, watch: w.watchServers}
+	f := follower{name: "servers", wait: w.wait, get: w.readServers, watch: w.watchServers}
 	f.run(ctx)
 }
 
@@ -110,7 +126,9 @@
 
 // follower reads one table whole and then follows its changes.
 type follower struct {
-	name  string
+	name string
+	// wait is how long a call waits.
+	wait  func() time.Duration
 	get   func(ctx context.Context) (uint64, error)
 	watch func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
 	// away says that the latest call failed.
@@ -156,7 +174,7 @@
 	}
 	// After a failure the first answer comes at once, so that the store's return is
 	// known and what changed meanwhile is not taken for new.
-	wait := waitTime
+	wait := f.wait()
 	if f.away {
 		wait = 0
 	}
--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -23,6 +23,9 @@
 const (
 	// period is the pause between two rounds: some four passes.
 	period = 250 * time.Millisecond
+	// periodRanks is the size of a group from which rounds are further apart, so that
+	// the counts of all ranks fit the leader's link.
+	periodRanks = 16
 	// silence is how long the lower ranks may be silent before this one leads; it
 	// is two rounds.
 	silence = 550 * time.Millisecond
@@ -92,7 +95,7 @@
 // shouldLead reports whether no lower rank has been heard of for long enough.
 func (b *Balancer) shouldLead(rank int, now time.Time) bool {
 	quiet := now.Sub(time.Unix(0, b.lower.Load()))
-	lead := rank == 0 || quiet > silence+time.Duration(rank)*silenceStep
+	lead := rank == 0 || quiet > time.Duration(b.roundFactor())*silence+time.Duration(rank)*silenceStep
 	if lead != b.leading {
 		log.Info("leadership changed", "event", "leader", "leads", lead, "rank", rank, "quiet", quiet)
 		b.leading = lead
@@ -101,6 +104,9 @@
 	return lead
 }
 
+// roundFactor is how much further apart the rounds of a large group are.
+func (b *Balancer) roundFactor() int { return max(len(b.engines())/periodRanks, 1) }
+
 // round reads the group and changes its map if that pays. It returns the pause
 // until the next round.
 func (b *Balancer) round(ctx context.Context) time.Duration {
@@ -127,7 +133,7 @@
 		return stuckPoll
 	}
 	b.balance(ctx, g, own, engine)
-	return period
+	return time.Duration(b.roundFactor()) * period
 }
 
 // read reads all ranks of the own group.
--- /dev/null
+++ b/internal/group/commander/change.go
@@ -0,0 +1,215 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/group/shifter"
+	"siskinfall/internal/process/sleeper"
+)
+
+// Change brings a placement into force. It returns when every rank is armed and
+// the pass is released, or with an error when the change was not made or has to
+// be finished by Recover.
+func (c *Commander) Change(ctx context.Context, g Group, own *Status, version uint64, p shifter.Placement) error {
+	if err := c.prepare(ctx, g, version, p); err != nil {
+		return err
+	}
+	if c.lost.Swap(false) {
+		c.ahead = max(c.ahead, lossAhead)
+	} else {
+		c.ahead = max(c.ahead-1, leastAhead)
+	}
+	step, err := c.hold(ctx, g, own)
+	if err != nil {
+		return err
+	}
+	return c.finish(ctx, g, []held{{Status: own, step: step}}, nil, Armed{Version: version, Step: step})
+}
+
+// prepare copies a map to all ranks, the first rank deciding among leaders.
+func (c *Commander) prepare(ctx context.Context, g Group, version uint64, p shifter.Placement) error {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	first := g.First()
+	// Another leader's map may be prepared everywhere and about to be armed. Then
+	// the other ranks keep it until the first rank has given it up.
+	pending := first.Prepared != nil && *first.Prepared > first.Version
+	order := Prepare{Version: version, Placement: p}
+	if err := c.prepareFirst(ctx, g, order); err != nil {
+		return err
+	}
+	sent := make([]bool, len(g))
+	sent[0] = true
+	for {
+		all := c.readAll(ctx, g, Query{LeaderRank: first.Rank})
+		ready, err := checkPrepared(g, all, sent, order)
+		if err != nil || ready {
+			return err
+		}
+		if !pending || all[0] != nil && all[0].Prepared != nil && *all[0].Prepared == version {
+			c.sendAll(ctx, g, sent, Directive{Order: order, Epoch: g.Epoch()})
+		}
+		if sleeper.Sleep(ctx, preparePoll); ctx.Err() != nil {
+			return wrapper.At("prepare", "", errPreparing)
+		}
+	}
+}
+
+// checkPrepared reports whether all ranks have prepared a map. A rank that has
+// neither it nor a copy in progress is to be sent the order again.
+func checkPrepared(g Group, all []*Status, sent []bool, order Prepare) (bool, error) {
+	ready := true
+	for i, s := range all {
+		switch {
+		case s == nil:
+			ready = false
+		case s.Epoch != g.Epoch() || s.Broken:
+			return false, wrapper.At("prepare", s.Addr.String(), errOtherEpoch)
+		case s.Prepared != nil && *s.Prepared > order.Version:
+			return false, wrapper.At("prepare", s.Addr.String(), errOtherMap)
+		case s.Prepared != nil && *s.Prepared == order.Version:
+			// A rank read from afar does not tell its experts.
+			if s.PreparedDigest != 0 && s.PreparedDigest != Digest(order.Placement, i) {
+				return false, wrapper.At("check_prepared", s.Addr.String(), errOtherMap)
+			}
+		default:
+			ready = false
+			sent[i] = sent[i] && s.Busy
+		}
+	}
+	return ready, nil
+}
+
+// prepareFirst begins to prepare a map at the first rank, unless another leader
+// has begun something there since it was read.
+func (c *Commander) prepareFirst(ctx context.Context, g Group, order Prepare) error {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	first := g.First()
+	if first.Busy {
+		return wrapper.At("prepare", first.Addr.String(), errOtherMap)
+	}
+	sequence := first.Sequence
+	err := c.insist(ctx, first, Directive{Order: order, Epoch: g.Epoch(), Sequence: &sequence}, func(s *Status) verdict {
+		switch {
+		case s.Prepared != nil && *s.Prepared == order.Version:
+			return done
+		case s.Sequence == sequence+1 && s.Busy:
+			// This order or another leader's.
+			return open
+		}
+		return missing
+	})
+	if errors.Is(err, ErrConflict) {
+		c.counter += refusedStep
+	}
+	return err
+}
+
+// sendAll sends an order to the ranks that have not taken it yet.
+func (c *Commander) sendAll(ctx context.Context, g Group, sent []bool, d Directive) {
+	var wg sync.WaitGroup
+	for i, s := range g {
+		if sent[i] {
+			continue
+		}
+		wg.Go(func() { sent[i] = c.send(ctx, s, d) == nil })
+	}
+	wg.Wait()
+}
+
+// hold keeps the group from beginning a pass a little ahead, at the leader's own
+// rank.
+func (c *Commander) hold(ctx context.Context, g Group, own *Status) (uint64, error) {
+	for range holdTries {
+		s, err := c.read(ctx, own.Addr, Query{LeaderRank: own.Rank})
+		if err != nil {
+			return 0, err
+		}
+		if s.Epoch != g.Epoch() || s.Broken {
+			return 0, wrapper.At("hold", own.Addr.String(), errOtherEpoch)
+		}
+		if s.Held != nil {
+			return 0, wrapper.At("hold", own.Addr.String(), ErrConflict)
+		}
+		step := s.Step + c.ahead
+		if step <= c.lastStep {
+			// The group idles. A release of an earlier life may be under way for the
+			// pass that it held, so another one is drawn.
+			step = c.lastStep + 1 + c.random()%idleSpread
+		}
+		c.lastStep = step
+		err = c.insist(ctx, own, Directive{Order: Hold{Step: step}, Epoch: g.Epoch()}, func(s *Status) verdict {
+			return doneIf(s.Held != nil && *s.Held == step)
+		})
+		if err == nil {
+			return step, nil
+		}
+		if !errors.Is(err, ErrConflict) {
+			return 0, err
+		}
+		c.ahead = min(c.ahead+1, mostAhead)
+	}
+	return 0, wrapper.At("hold", own.Addr.String(), errOutrun)
+}
+
+// finish arms all ranks, the first one first, and releases own holds and those of
+// others. An own hold must keep the pass from beginning.
+func (c *Commander) finish(ctx context.Context, g Group, own, others []held, a Armed) error {
+	start := time.Now()
+	armCtx, cancel := context.WithTimeout(ctx, armTimeout)
+	defer cancel()
+	isArmed := func(s *Status) verdict {
+		return doneIf(s.Armed != nil && *s.Armed == a || s.Version == a.Version)
+	}
+	d := Directive{Order: Arm{Armed: a}, Epoch: g.Epoch()}
+	if err := c.insist(armCtx, g.First(), d, isArmed); err != nil {
+		if errors.Is(err, ErrConflict) {
+			// The first rank can't be armed with this version any more, so no rank
+			// is or will be.
+			return errors.Join(err, c.releaseAll(ctx, g, own))
+		}
+		return err
+	}
+	errs := make([]error, len(g))
+	var wg sync.WaitGroup
+	for i, s := range g[1:] {
+		wg.Go(func() { errs[i] = c.insist(armCtx, s, d, isArmed) })
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("%w: %w", errNotArmed, err)
+	}
+	if err := c.releaseAll(ctx, g, append(own, others...)); err != nil {
+		return err
+	}
+	if time.Since(start) > slowArming {
+		c.ahead = min(c.ahead+slowStep, mostAhead)
+	}
+	log.Info("pass released", "event", "map_released", "version", a.Version, "pass", a.Step, "epoch", g.Epoch(),
+		"armed_in", time.Since(start), "ahead", c.ahead)
+	return nil
+}
+
+func (c *Commander) releaseAll(ctx context.Context, g Group, holders []held) error {
+	errs := make([]error, 0, len(holders))
+	for _, h := range holders {
+		errs = append(errs, c.release(ctx, g, h.Status, h.step))
+	}
+	return errors.Join(errs...)
+}
+
+func (c *Commander) release(ctx context.Context, g Group, holder *Status, step uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, armTimeout)
+	defer cancel()
+	return c.insist(ctx, holder, Directive{Order: Release{Step: step}, Epoch: g.Epoch()}, func(s *Status) verdict {
+		return doneIf(s.Held == nil || *s.Held != step)
+	})
+}
--- /dev/null
+++ b/internal/group/commander/fake_test.go
@@ -0,0 +1,315 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"siskinfall/internal/group/shifter"
+	"siskinfall/internal/process/sleeper"
+)
+
+// fakeRank is one engine, as strict as the real ones and no stricter.
+type fakeRank struct {
+	version  uint64
+	lists    [][]int
+	highest  uint64
+	sequence uint64
+	busy     bool
+	prepared *uint64
+	next     [][]int
+	armed    *Armed
+	held     *uint64
+}
+
+// faults are probabilities for one order or reading.
+type faults struct {
+	lost, silent, late, slow, stale, failRead float64
+}
+
+// fakeGroup steps its ranks in lock-step and breaks the test if a pass begins
+// under two maps.
+type fakeGroup struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	faults faults
+	epoch  uint64
+	step   uint64
+	idle   bool
+	ranks  []*fakeRank
+	// past holds states for stale readings.
+	past   [][]Status
+	broken string
+	// changes counts the maps that came into force.
+	changes int
+	// trace holds the latest orders carried out, up to the break.
+	trace []string
+}
+
+func newFakeGroup(seed uint64, f faults) *fakeGroup {
+	g := &fakeGroup{rng: rand.New(rand.NewPCG(seed, 1)), faults: f, epoch: 1}
+	for r := range testRanks {
+		g.ranks = append(g.ranks, &fakeRank{lists: rankLists(randomPlacement(rand.New(rand.NewPCG(1, 1))), r)})
+	}
+	return g
+}
+
+func addrOf(rank int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(rank + 1)}), 9000)
+}
+
+func randomPlacement(rng *rand.Rand) shifter.Placement {
+	p := make(shifter.Placement, 1)
+	p[0] = make([][]int, testRanks)
+	for i, e := range rng.Perm(testExperts) {
+		p[0][i%testRanks] = append(p[0][i%testRanks], e)
+	}
+	return p
+}
+
+func rankLists(p shifter.Placement, rank int) [][]int { return [][]int{p[0][rank]} }
+
+// draw returns whether something with a probability happens.
+func (g *fakeGroup) draw(probability float64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rng.Float64() < probability
+}
+
+func (g *fakeGroup) between(from, to time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return from + time.Duration(g.rng.Int64N(int64(to-from)))
+}
+
+// run begins passes until ctx ends.
+func (g *fakeGroup) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleeper.Sleep(ctx, passTime)
+		g.mu.Lock()
+		g.pass()
+		g.mu.Unlock()
+	}
+}
+
+func (g *fakeGroup) pass() {
+	if g.idle {
+		return
+	}
+	for _, r := range g.ranks {
+		if r.held != nil && *r.held <= g.step+1 {
+			return
+		}
+	}
+	g.step++
+	for i, r := range g.ranks {
+		if r.armed != nil && r.armed.Step == g.step {
+			r.version, r.lists, r.armed = r.armed.Version, r.next, nil
+			if i == 0 {
+				g.changes++
+			}
+		}
+	}
+	seen := make(map[int]bool)
+	for i, r := range g.ranks {
+		if r.version != g.ranks[0].version {
+			g.broken = fmt.Sprintf("pass %d: rank %d has version %d, rank 0 %d", g.step, i, r.version, g.ranks[0].version)
+		}
+		for _, e := range r.lists[0] {
+			if seen[e] {
+				g.broken = fmt.Sprintf("pass %d: version %d has expert %d twice", g.step, r.version, e)
+			}
+			seen[e] = true
+		}
+	}
+	if len(seen) != testExperts {
+		g.broken = fmt.Sprintf("pass %d: version %d has %d of %d experts", g.step, g.ranks[0].version, len(seen), testExperts)
+	}
+}
+
+// restart begins a new epoch, as when a rank has come back.
+func (g *fakeGroup) restart() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.epoch++
+	for r, old := range g.ranks {
+		g.ranks[r] = &fakeRank{lists: rankLists(randomPlacement(rand.New(rand.NewPCG(1, 1))), r), sequence: old.sequence, highest: old.highest}
+	}
+}
+
+func (g *fakeGroup) status(rank int) Status {
+	r := g.ranks[rank]
+	s := Status{
+		Addr: addrOf(rank), Group: "g", Epoch: g.epoch, Rank: rank, Size: testRanks, Step: g.step, Version: r.version,
+		Busy: r.busy, Sequence: r.sequence, Running: 1, Slowness: 1, Experts: r.lists,
+	}
+	if r.prepared != nil {
+		v := *r.prepared
+		s.Prepared = &v
+		s.PreparedDigest = DigestLists(r.next)
+	}
+	if r.armed != nil {
+		a := *r.armed
+		s.Armed = &a
+	}
+	if r.held != nil {
+		v := *r.held
+		s.Held = &v
+	}
+	return s
+}
+
+// remember keeps states for stale readings, until ctx ends.
+func (g *fakeGroup) remember(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		all := make([]Status, testRanks)
+		for r := range g.ranks {
+			all[r] = g.status(r)
+		}
+		g.past = append(g.past, all)
+		if len(g.past) > 20 {
+			g.past = g.past[1:]
+		}
+		g.mu.Unlock()
+		sleeper.Sleep(ctx, 10*time.Millisecond)
+	}
+}
+
+// Read implements Transport.
+func (g *fakeGroup) Read(ctx context.Context, engine netip.AddrPort, _ Query) (*Status, error) {
+	sleeper.Sleep(ctx, g.between(time.Millisecond, 4*time.Millisecond))
+	if g.draw(g.faults.failRead) {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	rank := int(engine.Addr().As4()[3]) - 1
+	stale := g.draw(g.faults.stale)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if stale && len(g.past) > 0 {
+		s := g.past[0][rank]
+		return &s, nil
+	}
+	s := g.status(rank)
+	return &s, nil
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// Send implements Transport.
+func (g *fakeGroup) Send(ctx context.Context, engine netip.AddrPort, d Directive) error {
+	rank := int(engine.Addr().As4()[3]) - 1
+	if g.draw(g.faults.slow) {
+		// The process stands still between its decision and its order.
+		time.Sleep(g.between(100*time.Millisecond, 3*time.Second))
+	}
+	switch {
+	case g.draw(g.faults.lost):
+		<-ctx.Done()
+		return errNoAnswer
+	case g.draw(g.faults.late):
+		wait := g.between(2*time.Second, 12*time.Second)
+		go func() {
+			time.Sleep(wait)
+			_ = g.apply(rank, d)
+		}()
+		<-ctx.Done()
+		return errNoAnswer
+	}
+	time.Sleep(g.between(time.Millisecond, 4*time.Millisecond))
+	err := g.apply(rank, d)
+	if g.draw(g.faults.silent) {
+		<-ctx.Done()
+		return errNoAnswer
+	}
+	return err
+}
+
+// apply carries out an order at one rank.
+func (g *fakeGroup) apply(rank int, d Directive) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[rank]
+	g.note(rank, d)
+	if d.Epoch != g.epoch || d.Sequence != nil && *d.Sequence != r.sequence {
+		return ErrConflict
+	}
+	switch o := d.Order.(type) {
+	case Prepare:
+		return g.prepare(rank, o)
+	case Arm:
+		if r.armed != nil && *r.armed == o.Armed {
+			return nil
+		}
+		if r.prepared == nil || *r.prepared != o.Version || o.Step <= g.step || r.armed != nil {
+			return ErrConflict
+		}
+		a := o.Armed
+		r.armed = &a
+	case Disarm:
+		if r.version == o.Version {
+			return ErrConflict
+		}
+		r.armed = nil
+	case Hold:
+		if o.Step <= g.step || r.held != nil && *r.held != o.Step {
+			return ErrConflict
+		}
+		v := o.Step
+		r.held = &v
+	case Release:
+		if r.held != nil && *r.held == o.Step {
+			r.held = nil
+		}
+	}
+	return nil
+}
+
+// note keeps an order and the state that it meets, until the group is broken.
+func (g *fakeGroup) note(rank int, d Directive) {
+	const kept = 80
+	if g.broken != "" {
+		return
+	}
+	if len(g.trace) == kept {
+		g.trace = g.trace[1:]
+	}
+	sequence := ""
+	if d.Sequence != nil {
+		sequence = fmt.Sprintf(" at sequence %d", *d.Sequence)
+	}
+	g.trace = append(g.trace, fmt.Sprintf("%s pass %d epoch %d/%d: %T %v%s to %s", time.Now().Format("04:05.000"), g.step, d.Epoch, g.epoch,
+		d.Order, d.Order, sequence, describeRank(g.status(rank))))
+}
+
+func (g *fakeGroup) prepare(rank int, o Prepare) error {
+	r := g.ranks[rank]
+	if o.Version <= r.highest || r.armed != nil {
+		return ErrConflict
+	}
+	r.highest, r.busy, r.sequence = o.Version, true, r.sequence+1
+	lists := rankLists(o.Placement, rank)
+	epoch := g.epoch
+	go func() {
+		time.Sleep(copyTime)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.epoch != epoch || r.highest != o.Version {
+			return
+		}
+		r.busy = false
+		// An arm of the map before keeps it.
+		if r.armed == nil {
+			v := o.Version
+			r.prepared, r.next = &v, lists
+		}
+	}()
+	return nil
+}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -81,7 +81,10 @@
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
 	}
 	g.peers = connector.NewPool(g.hello)
-	g.gossip = gossiper.New(cfg.Listen.Peers, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.crashes, g.budget.SetGateways)
+	g.gossip = gossiper.New(cfg.Listen.Peers, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.crashes, func(n int) {
+		g.budget.SetGateways(n)
+		g.watch.SetGateways(n)
+	})
 	g.subscribe = subscriber.New(cfg.Listen.Peers, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossip.AddGateways)
 	g.servers.OnChange(g.subscribe.SetServers)
 	return g
