--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -45,6 +45,9 @@
 	waitGateways = 12
 	// mostWait bounds that; the store allows 30 s.
 	mostWait = 16 * time.Second
+	// batchPause is how long changes are left to gather after one: servers come and
+	// leave together, and each call has a price.
+	batchPause = 200 * time.Millisecond
 	// firstPause and mostPause bound the pause after a failure. The longest keeps
 	// the return of the store unnoticed for less than half of the time in which
 	// a change has to be in force.
@@ -149,6 +152,7 @@
 		if err == nil {
 			f.setAway(false, nil)
 			pause = firstPause
+			sleeper.Sleep(ctx, batchPause)
 			continue
 		}
 		if errors.Is(err, ErrHistoryLost) {
--- a/internal/group/shifter/shifter.go
+++ b/internal/group/shifter/shifter.go
@@ -62,9 +62,9 @@
 	maxTargets = 14
 	// minGain is the relative lowering of the cost below which a step is none.
 	minGain = 0.0005
-	// copyPrice is the skew that one copy must save: it moves hundreds of megabytes,
-	// and both users price that.
-	copyPrice = 0.04
+	// copyPrice is the skew that one copy must save, times the ranks that gain by it:
+	// a copy moves hundreds of megabytes, and both users price that.
+	copyPrice = 0.48
 	// rounding is that of sums in another order.
 	rounding = 1e-9
 )
@@ -179,7 +179,7 @@
 // worth is what skew and copies cost together, in units of skew.
 func (s *state) worth() float64 {
 	copies, _ := s.copies()
-	return s.skew() + copyPrice*float64(copies)
+	return s.skew() + copyPrice*float64(copies)/float64(len(s.load))
 }
 
 // steepest finds the change that lowers the highest load the most.
