--- a/internal/fleet/subscriber/publisher.go
+++ b/internal/fleet/subscriber/publisher.go
@@ -147,7 +147,8 @@
 		p.pass += time.Duration(passWeight * float64(each-p.pass))
 		p.step, p.stepAt, p.stalled = s.Step, now, false
 	case s.Running == 0:
-		p.stepAt = now
+		// An idle group makes no passes: what was measured holds no more.
+		p.stepAt, p.pass = now, 0
 	case now.Sub(p.stepAt) > max(stallLimit, stallPasses*p.pass):
 		p.stalled = true
 	}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -30,6 +30,9 @@
 	// PromptTokens and AnswerTokens are 0 where they are not told; the second is
 	// an upper bound.
 	PromptTokens, AnswerTokens int
+	// LikelyTokens is the caller's estimate of the answer, right at the median and
+	// often far off; 0 if it is not told.
+	LikelyTokens int
 	// AfterEvent is the last event that the caller has, 0 for none.
 	AfterEvent int
 }
@@ -320,6 +323,9 @@
 	if after > 0 {
 		kv = append(kv, "retry_after", after)
 	}
+	if x.AnswerTokens > 0 {
+		kv = append(kv, "prompt_tokens", x.PromptTokens, "answer_tokens", x.AnswerTokens, "likely_tokens", x.LikelyTokens)
+	}
 	if x.lastEvent > 0 {
 		kv = append(kv, "last_event", x.lastEvent)
 	}
--- a/internal/gateway/placer/placer_test.go
+++ b/internal/gateway/placer/placer_test.go
@@ -157,6 +157,7 @@
 		p.SetEngineLoad(addr(i), time.Time{}, Load{Pass: 600 * time.Millisecond, Slowness: 1, At: start})
 	}
 	long, short := streamWork(start), streamWork(start)
+	long.Patience, short.Patience = 0, 0
 	short.Answer = 25
 	_, ok := p.Place(long, start).(*Refused)
 	c.Assert(ok, qt.IsTrue)
@@ -323,3 +324,31 @@
 	_, ok = p.Place(streamWork(now), now).(*Placed)
 	c.Assert(ok, qt.IsTrue)
 }
+
+// TestIdleGroupIsNotTakenForSlow lets a rank be twelve times slower for a while, so
+// that everything is refused and the group idles, and then recover.
+func TestIdleGroupIsNotTakenForSlow(t *testing.T) {
+	c := qt.New(t)
+	p := newEngines(2, start)
+	w := streamWork(start)
+	w.Answer = 300
+	p.SetEngineLoad(addr(1), time.Time{}, Load{Slowness: 12, At: start})
+	_, ok := p.Place(w, start).(*Refused)
+	c.Assert(ok, qt.IsTrue)
+	p.SetEngineLoad(addr(1), time.Time{}, Load{Slowness: 1, At: start})
+	p.SetEngineLoad(addr(0), time.Time{}, Load{Slowness: 1, At: start})
+	_, ok = p.Place(w, start).(*Placed)
+	c.Assert(ok, qt.IsTrue)
+}
+
+// TestBoundOfTokensIsNoEstimate sends requests that could be long and hardly ever
+// are to a group that is slow.
+func TestBoundOfTokensIsNoEstimate(t *testing.T) {
+	c := qt.New(t)
+	p := newEngines(1, start)
+	p.SetEngineLoad(addr(0), time.Time{}, Load{Pass: 200 * time.Millisecond, Slowness: 1, At: start})
+	w := streamWork(start)
+	w.Answer, w.MostAnswer = 0, 345
+	_, ok := p.Place(w, start).(*Placed)
+	c.Assert(ok, qt.IsTrue)
+}
--- a/internal/gateway/placer/room.go
+++ b/internal/gateway/placer/room.go
@@ -31,9 +31,9 @@
 	// passesBeforeFirst is the number of passes until a request's first event: one
 	// that has begun, and the one that reads the prompt.
 	passesBeforeFirst = 2
-	// certainty is the part of the predicted time that must exceed what is left
-	// for a request to be refused: answers are often shorter than their bound.
-	certainty = 0.8
+	// certainty is the part of the predicted time that must exceed what is left for
+	// a request to be refused: half of all answers are shorter than predicted.
+	certainty = 0.6
 )
 
 // callers is what is known of a route's callers.
@@ -67,7 +67,7 @@
 	if engine == nil {
 		return nil
 	}
-	first, last := best.predict(engine, w, estimate)
+	first, last := best.predict(engine, w, estimate, p.pass(best, engine, now))
 	left := w.Until.Sub(now)
 	if w.Patience > 0 && float64(first)*certainty > float64(w.Patience) || float64(last)*certainty > float64(left) {
 		return &Refused{Reason: "can't be finished in time", After: w.bound(p.freeAfter(best, now), now)}
@@ -88,15 +88,32 @@
 	return limit - urgencyStep*steps
 }
 
+// pass is the time that a pass is expected to take. What was measured holds while
+// passes are made; an idle group is taken for as fast as its ranks are.
+func (p *Placer) pass(s *server, engine *holder.Engine, now time.Time) time.Duration {
+	slowest := 1.0
+	for _, other := range p.byService[s.Service] {
+		if other.load.Group == s.load.Group && now.Sub(other.load.At) < reportLife {
+			slowest = max(slowest, other.load.Slowness)
+		}
+	}
+	// A slow rank without requests still takes its own empty part of each pass.
+	least := time.Duration(slowest * float64(engine.TokensPerEvent) * float64(engine.Pass))
+	full := time.Duration(engine.TokensPerEvent) * (engine.Pass + time.Duration(engine.Slots)*engine.PerRequest)
+	if s.load.Pass <= 0 {
+		return max(least, full)
+	}
+	return max(least, s.load.Pass)
+}
+
 // predict returns the times until the first and the last event of an answer.
-func (s *server) predict(engine *holder.Engine, w Work, estimate int) (first, last time.Duration) {
-	pass := s.load.Pass
-	if pass <= 0 {
-		pass = time.Duration(engine.TokensPerEvent) * (engine.Pass + time.Duration(engine.Slots)*engine.PerRequest)
+func (s *server) predict(engine *holder.Engine, w Work, estimate int, pass time.Duration) (first, last time.Duration) {
+	answer := engine.UsualAnswer
+	if w.Answer > 0 {
+		answer = w.Answer
 	}
-	answer := w.Answer
-	if answer <= 0 {
-		answer = engine.UsualAnswer
+	if w.MostAnswer > 0 {
+		answer = min(answer, w.MostAnswer)
 	}
 	usual := time.Duration(engine.UsualAnswer/engine.TokensPerEvent) * pass
 	wait := time.Duration(0)
