--- a/internal/catalog/holder/catalog.go
+++ b/internal/catalog/holder/catalog.go
@@ -3,6 +3,7 @@
 package holder
 
 import (
+	"net"
 	"strings"
 	"time"
 )
@@ -171,8 +172,12 @@
 	return list
 }
 
-// MatchRoute returns the route with the longest prefix of path, nil for none.
+// MatchRoute returns the route with the longest prefix of path, nil for none. A
+// port behind the host does not matter.
 func (c *Catalog) MatchRoute(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
 	for _, r := range c.byHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
--- a/internal/catalog/holder/holder_test.go
+++ b/internal/catalog/holder/holder_test.go
@@ -21,6 +21,7 @@
 	for path, want := range map[string]string{"/": "root", "/a/": "a", "/a": "root", "/a/b/c": "deep", "/a/bc": "a"} {
 		c.Assert(cat.MatchRoute("h.example", path).Name, qt.Equals, want, qt.Commentf("%s", path))
 	}
+	c.Assert(cat.MatchRoute("H.example:8080", "/a/").Name, qt.Equals, "a")
 	c.Assert(cat.MatchRoute("i.example", "/b/"), qt.IsNil)
 	c.Assert(cat.GetAccount("k").Name, qt.Equals, "acme")
 	c.Assert(cat.GetAccount(""), qt.IsNil)
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -17,7 +17,6 @@
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/placer"
 	"siskinfall/internal/gateway/quarantiner"
-	"siskinfall/internal/process/drainer"
 )
 
 // Request is what a caller's headers say.
@@ -84,9 +83,10 @@
 	// defaultBody bounds a body before the catalog says how large it may be, in
 	// bytes.
 	defaultBody = 1 << 20
-	// staleAfter is the age at which the catalog may lack what is new: a
-	// change must be in force within two seconds.
-	staleAfter = 1500 * time.Millisecond
+	// staleAfter is the age at which the catalog may lack what is new: a source is
+	// silent for four seconds while nothing changes, and a change must be in force
+	// within two.
+	staleAfter = 5500 * time.Millisecond
 	// noCatalogRetry is told while there is no catalog.
 	noCatalogRetry = 500 * time.Millisecond
 	// connectionShare is the part of a server's connections that one gateway may
@@ -98,7 +98,6 @@
 
 // Forwarder serves callers. It is safe for concurrent use.
 type Forwarder struct {
-	drainer.Gate
 	catalog *holder.Holder
 	placer  *placer.Placer
 	budget  *budgeter.Budget
@@ -117,14 +116,6 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Forwarder: f, w: w, r: r, start: time.Now(), Request: f.codec.DecodeRequest(r.Header)}
-	if !f.Accept() {
-		x.refuse(http.StatusServiceUnavailable, "shutting down", noCatalogRetry)
-		return
-	}
-	defer f.Finish()
-	if f.IsDraining() {
-		w.Header().Set("Connection", "close")
-	}
 	if !x.admit() || !x.readBody() || !x.isHarmless() {
 		return
 	}
@@ -138,7 +129,7 @@
 	w     http.ResponseWriter
 	r     *http.Request
 	start time.Time
-	// catalog is the one by which the request is handled from start to end.
+	// current is the catalog by which the request is handled from start to end.
 	current *holder.Catalog
 	route   *holder.Route
 	// account is nil on public routes.
@@ -168,7 +159,7 @@
 func (x *exchange) admit() bool {
 	x.current = x.catalog.Get()
 	if x.current == nil {
-		x.refuse(http.StatusServiceUnavailable, "no catalog yet", noCatalogRetry)
+		x.fail(http.StatusServiceUnavailable, "no catalog yet", noCatalogRetry)
 		return false
 	}
 	x.route = x.current.MatchRoute(x.r.Host, x.r.URL.Path)
@@ -213,17 +204,14 @@
 // to say so.
 func (x *exchange) deny(status int, reason string) bool {
 	age := x.catalog.GetAge(x.start)
-	if age > staleAfter+watchSlack {
-		x.refuse(http.StatusServiceUnavailable, reason+", but the catalog may be old", noCatalogRetry)
+	if age > staleAfter {
+		x.fail(http.StatusServiceUnavailable, reason+", but the catalog may be old", noCatalogRetry)
 		return false
 	}
-	x.refuse(status, reason, 0)
+	x.fail(status, reason, 0)
 	return false
 }
 
-// watchSlack is how long a source is silent while nothing changes.
-const watchSlack = 4 * time.Second
-
 func pickTarget(targets []holder.Target) string {
 	total := 0
 	for _, t := range targets {
@@ -253,7 +241,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		x.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+		x.fail(http.StatusRequestEntityTooLarge, "body too large", 0)
 		return false
 	case err != nil:
 		log.Info("request broke off", "event", "ended", "request", x.ID, "step", "read_body", "error", err)
@@ -274,16 +262,10 @@
 	if !x.crashes.IsStopped(x.digest) {
 		return true
 	}
-	x.refuse(http.StatusServiceUnavailable, "request has crashed backend servers", 0)
+	x.fail(http.StatusServiceUnavailable, "request has crashed backend servers", 0)
 	return false
 }
 
-// refuse ends a request that has not run; after tells the caller when to come
-// back.
-func (x *exchange) refuse(status int, reason string, after time.Duration) {
-	x.fail(status, reason, after)
-}
-
 // promisesNotRun reports whether a status says that the request has not run.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -37,16 +37,15 @@
 
 // Work is a request that asks for a place.
 type Work struct {
-	ID      string
 	Route   string
 	Service string
 	// Zone is that of the gateway.
 	Zone string
 	// Priority is 0 for the most urgent work.
 	Priority int
-	// Prompt, Answer and MostAnswer are tokens; 0 for plain services. Answer is an
-	// estimate, 0 if there is none, and MostAnswer bounds the answer.
-	Prompt, Answer, MostAnswer int
+	// Answer and MostAnswer are tokens; 0 for plain services. Answer is an estimate, 0
+	// if there is none, and MostAnswer bounds the answer.
+	Answer, MostAnswer int
 	// Wait is for how long the caller said that it waits, 0 if it did not.
 	Wait time.Duration
 	// Patience is the silence after which the caller leaves, 0 for none.
--- a/internal/gateway/placer/placer_test.go
+++ b/internal/gateway/placer/placer_test.go
@@ -52,7 +52,7 @@
 }
 
 func streamWork(now time.Time) Work {
-	return Work{Route: "talk", Service: "llm", Zone: "a", Prompt: 800, Answer: 140, Wait: 8 * time.Second, Patience: 2 * time.Second, Until: now.Add(8 * time.Second)}
+	return Work{Route: "talk", Service: "llm", Zone: "a", Answer: 140, Wait: 8 * time.Second, Patience: 2 * time.Second, Until: now.Add(8 * time.Second)}
 }
 
 func deskWork(now time.Time) Work {
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -130,7 +129,7 @@
 	wg.Go(func() { serveHTTP(operate, admin) })
 	log.Info("started", "event", "start", "role", "gateway", "callers", callers.Addr(), "admin", admin.Addr())
 	<-stop.Graceful.Done()
-	done := g.drain(stop, front, callers)
+	done := g.drain(stop, front)
 	_ = operate.Close()
 	cancel()
 	wg.Wait()
@@ -149,7 +148,7 @@
 }
 
 // drain leaves the rotation first, then ends what is in flight.
-func (g *Gateway) drain(stop Stop, front *http.Server, _ net.Listener) bool {
+func (g *Gateway) drain(stop Stop, front *http.Server) bool {
 	start := time.Now()
 	g.leaving.Store(true)
 	log.Info("stopping", "event", "stop", "role", "gateway")
