--- a/internal/group/commander/commander_test.go
+++ b/internal/group/commander/commander_test.go
@@ -198,11 +198,13 @@
 		p := randomPlacement(rand.New(rand.NewPCG(5, 5)))
 		c.Assert(cmd.Change(ctx, group, group[1], cmd.NewVersion(group, 1, time.Now().AddDate(27, 0, 0)), p), qt.IsNil)
 		time.Sleep(time.Second)
+		g.mu.Lock()
 		for r, rank := range g.ranks {
 			c.Assert(reflect.DeepEqual(rank.lists, rankLists(p, r)), qt.IsTrue)
 			c.Assert(rank.held, qt.IsNil)
 		}
 		c.Assert(g.broken, qt.Equals, "")
+		g.mu.Unlock()
 		cancel()
 		time.Sleep(time.Second)
 	})
--- a/internal/group/commander/fake_test.go
+++ b/internal/group/commander/fake_test.go
@@ -73,11 +73,11 @@
 
 func rankLists(p shifter.Placement, rank int) [][]int { return [][]int{p[0][rank]} }
 
-// draw returns whether something with a probability happens.
-func (g *fakeGroup) draw(probability float64) bool {
+// draw returns whether a fault happens.
+func (g *fakeGroup) draw(probability func(faults) float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rng.Float64() < probability
+	return g.rng.Float64() < probability(g.faults)
 }
 
 func (g *fakeGroup) between(from, to time.Duration) time.Duration {
@@ -183,14 +183,14 @@
 // Read implements Transport.
 func (g *fakeGroup) Read(ctx context.Context, engine netip.AddrPort, _ Query) (*Status, error) {
 	sleeper.Sleep(ctx, g.between(time.Millisecond, 4*time.Millisecond))
-	if g.draw(g.faults.failRead) {
+	if g.draw(func(f faults) float64 { return f.failRead }) {
 		<-ctx.Done()
 	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
 	rank := int(engine.Addr().As4()[3]) - 1
-	stale := g.draw(g.faults.stale)
+	stale := g.draw(func(f faults) float64 { return f.stale })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if stale && len(g.past) > 0 {
@@ -206,15 +206,15 @@
 // Send implements Transport.
 func (g *fakeGroup) Send(ctx context.Context, engine netip.AddrPort, d Directive) error {
 	rank := int(engine.Addr().As4()[3]) - 1
-	if g.draw(g.faults.slow) {
+	if g.draw(func(f faults) float64 { return f.slow }) {
 		// The process stands still between its decision and its order.
 		time.Sleep(g.between(100*time.Millisecond, 3*time.Second))
 	}
 	switch {
-	case g.draw(g.faults.lost):
+	case g.draw(func(f faults) float64 { return f.lost }):
 		<-ctx.Done()
 		return errNoAnswer
-	case g.draw(g.faults.late):
+	case g.draw(func(f faults) float64 { return f.late }):
 		wait := g.between(2*time.Second, 12*time.Second)
 		go func() {
 			time.Sleep(wait)
@@ -225,7 +225,7 @@
 	}
 	time.Sleep(g.between(time.Millisecond, 4*time.Millisecond))
 	err := g.apply(rank, d)
-	if g.draw(g.faults.silent) {
+	if g.draw(func(f faults) float64 { return f.silent }) {
 		<-ctx.Done()
 		return errNoAnswer
 	}
