--- a/internal/catalog/holder/holder.go
+++ b/internal/catalog/holder/holder.go
@@ -15,6 +15,9 @@
 	mu sync.Mutex
 	// current is nil before the first catalog; its version never falls.
 	current atomic.Pointer[Catalog]
+	// highest is the highest version ever put in force, kept apart from current so
+	// that the assertion does not rest on what it checks.
+	highest uint64
 	// confirmed is when a source last said that no newer version exists, in
 	// nanoseconds of the steady clock since start.
 	confirmed atomic.Int64
@@ -58,9 +61,10 @@
 	if c.Version <= old {
 		return false
 	}
-	if asserter.Holds(c.Version > old, asserter.RuleMonotone, "catalog %d after %d", c.Version, old) != nil {
+	if asserter.Holds(c.Version > h.highest, asserter.RuleMonotone, "catalog %d after %d", c.Version, h.highest) != nil {
 		return false
 	}
+	h.highest = c.Version
 	h.current.Store(c)
 	log.Info("catalog in force", "event", "catalog", "version", c.Version, "before", old, "source", source,
 		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts))
--- a/internal/check/asserter/asserter.go
+++ b/internal/check/asserter/asserter.go
@@ -24,6 +24,9 @@
 	// RuleNotRun: a request is reported as not run only if no byte of it reached
 	// a backend server.
 	RuleNotRun Rule = "not_run_is_true"
+	// RuleOnce: work that is not repeatable is handed over again only if no
+	// backend server may have run it.
+	RuleOnce Rule = "not_run_twice"
 	// RuleOwnAnswer: an answer goes to the request whose attempt id it carries.
 	RuleOwnAnswer Rule = "answer_matches_attempt"
 	// RuleWholeAnswer: an answer ends cleanly only when it is complete.
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/backend/dialer"
+	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/gateway/placer"
 )
@@ -94,6 +95,12 @@
 		return &notSent{err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Abort() })
+	once := !x.mayHaveRun || x.route.IsRepeatable()
+	if err := asserter.Holds(once, asserter.RuleOnce, "request %s again, to %s", x.ID, p.ID); err != nil {
+		stop()
+		_ = conn.Close()
+		return &notSent{err: err}
+	}
 	x.sent++
 	x.tried = append(x.tried, p.ID)
 	req := x.newRequest(p)
@@ -113,6 +120,11 @@
 		return &unknown{err: wrapper.At("read_answer", p.ID, err)}
 	}
 	a.stop = stop
+	own := a.RequestID == x.ID || a.NotRun
+	if err := asserter.Holds(own, asserter.RuleOwnAnswer, "answer to %s for %s", a.RequestID, x.ID); err != nil {
+		a.release(false, x.pool)
+		return &unknown{err: wrapper.At("check_answer", p.ID, err)}
+	}
 	return x.judge(a, p)
 }
 
@@ -216,7 +228,7 @@
 			continue
 		}
 		a := &answered{Answer: x.codec.DecodeAnswer(resp.StatusCode, resp.Header), resp: resp, conn: conn}
-		if a.RequestID == x.ID || x.ID == "" || a.RequestID == "" && a.NotRun {
+		if a.RequestID == x.ID || a.RequestID == "" && a.NotRun {
 			return a, nil
 		}
 		log.Warn("answer of another request", "event", "stray_answer", "request", x.ID, "answered", a.RequestID,
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -121,7 +121,9 @@
 
 func (x *exchange) newWork() placer.Work {
 	w := placer.Work{
-		Route: x.route.Name, Service: x.service, Zone: x.zone, Priority: x.route.Priority, Answer: x.LikelyTokens, MostAnswer: x.AnswerTokens, Wait: x.Wait, Patience: x.route.Patience, Until: x.until, Exclude: x.tried,
+		Route: x.route.Name, Service: x.service, Zone: x.zone, Priority: x.route.Priority,
+		Answer: x.LikelyTokens, MostAnswer: x.AnswerTokens, Wait: x.Wait, Patience: x.route.Patience, Until: x.until,
+		Exclude: x.tried,
 	}
 	if x.account != nil && x.account.Priority != nil {
 		w.Priority = *x.account.Priority
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fleet/lister"
 )
 
@@ -275,6 +276,9 @@
 	if r := p.checkRoom(best, w, returned, now); r != nil {
 		return r
 	}
+	if asserter.Holds(!best.Leaving, asserter.RuleNoNewWork, "%s is leaving", best.ID) != nil {
+		return &Refused{Reason: "backend server is leaving", After: w.bound(defaultRetry, now)}
+	}
 	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), Reported: best.load.At, decided: now, server: best, placer: p}
 	best.own++
 	best.delta++
--- a/internal/group/commander/change.go
+++ b/internal/group/commander/change.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/group/shifter"
 	"siskinfall/internal/process/sleeper"
@@ -179,14 +181,24 @@
 		return err
 	}
 	errs := make([]error, len(g))
+	var confirmed atomic.Int64
+	confirmed.Add(1)
 	var wg sync.WaitGroup
 	for i, s := range g[1:] {
-		wg.Go(func() { errs[i] = c.insist(armCtx, s, d, isArmed) })
+		wg.Go(func() {
+			if errs[i] = c.insist(armCtx, s, d, isArmed); errs[i] == nil {
+				confirmed.Add(1)
+			}
+		})
 	}
 	wg.Wait()
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("%w: %w", errNotArmed, err)
 	}
+	all := confirmed.Load() == int64(len(g))
+	if err := asserter.Holds(all, asserter.RuleOneMap, "%d of %d ranks armed with %d", confirmed.Load(), len(g), a.Version); err != nil {
+		return err
+	}
 	if err := c.releaseAll(ctx, g, append(own, others...)); err != nil {
 		return err
 	}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -96,12 +96,24 @@
 	return SetLog(cfg)
 }
 
+// limitMemory sets the collector's limit for a process that may use some megabytes.
+func limitMemory(megabytes int) {
+	debug.SetMemoryLimit(int64(float64(megabytes<<20) * memoryFraction))
+}
+
+// goAll runs work in the background until ctx ends.
+func goAll(ctx context.Context, wg *sync.WaitGroup, work ...func(context.Context)) {
+	for _, f := range work {
+		wg.Go(func() { f(ctx) })
+	}
+}
+
 // Run serves until stop.
 func (g *Gateway) Run(stop Stop) error {
 	ctx, cancel := context.WithCancel(stop.Forced)
 	defer cancel()
 	context.AfterFunc(ctx, g.peers.Close)
-	debug.SetMemoryLimit(int64(float64(g.cfg.Gateway.Memory<<20) * memoryFraction))
+	limitMemory(g.cfg.Gateway.Memory)
 	var ls listeners
 	callers, err := ls.bind(g.cfg.Listen.Callers)
 	if err != nil {
@@ -121,9 +133,7 @@
 	}
 	operate := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: callerHeader}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.watch.RunCatalog, g.watch.RunServers, tuner.Run, g.keep, reload(RoleGateway), g.subscribe.Run, g.gossip.Run} {
-		wg.Go(func() { f(ctx) })
-	}
+	goAll(ctx, &wg, g.watch.RunCatalog, g.watch.RunServers, tuner.Run, g.keep, reload(RoleGateway), g.subscribe.Run, g.gossip.Run)
 	wg.Go(func() { _ = connector.NewAcceptor(g.hello, g.handle).Serve(ctx, peers) })
 	wg.Go(func() { serveHTTP(front, callers) })
 	wg.Go(func() { serveHTTP(operate, admin) })
--- a/internal/process/launcher/sidecar.go
+++ b/internal/process/launcher/sidecar.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -55,16 +54,14 @@
 	ctx, cancel := context.WithCancel(stop.Forced)
 	defer cancel()
 	context.AfterFunc(ctx, s.pool.Close)
-	debug.SetMemoryLimit(int64(float64(s.cfg.Sidecar.Memory<<20) * memoryFraction))
+	limitMemory(s.cfg.Sidecar.Memory)
 	var ls listeners
 	peers, err := ls.bind(s.cfg.Listen.Peers)
 	if err != nil {
 		return err
 	}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){s.publisher.Run, s.balancer.Run, tuner.Run, reload(RoleSidecar)} {
-		wg.Go(func() { f(ctx) })
-	}
+	goAll(ctx, &wg, s.publisher.Run, s.balancer.Run, tuner.Run, reload(RoleSidecar))
 	wg.Go(func() { _ = connector.NewAcceptor(s.hello, s.handle).Serve(ctx, peers) })
 	log.Info("started", "event", "start", "role", RoleSidecar, "peers", peers.Addr(), "engine", s.cfg.Sidecar.Backend)
 	<-stop.Graceful.Done()
