--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -182,7 +182,12 @@
 	for i, s := range g {
 		slowness[i] = s.Slowness
 	}
-	plan := shifter.Next(b.placement, b.demand.Get(), shifter.Bounds{Places: engine.SlotsPerRank, Spare: engine.Spare, Slowness: slowness})
+	bounds := shifter.Bounds{Places: engine.SlotsPerRank, Spare: engine.Spare, Slowness: slowness}
+	if shifter.Skew(b.placement, b.demand.Get(), bounds) < 1+minLoss {
+		// No plan lowers it by enough, and planning for a large group is dear.
+		return
+	}
+	plan := shifter.Next(b.placement, b.demand.Get(), bounds)
 	planned := time.Since(start)
 	copying := b.copyTime(plan, engine)
 	if plan.Before-plan.After < max(minLoss, copySlowdown*copying.Seconds()/horizon.Seconds()) {
--- a/internal/group/shifter/shifter_test.go
+++ b/internal/group/shifter/shifter_test.go
@@ -81,7 +81,7 @@
 			c.Assert(plan.After <= plan.Before*(1+rounding), qt.IsTrue, qt.Commentf("%v over %v", plan.After, plan.Before))
 			p = plan.Placement
 		}
-		worst = max(worst, Skew(p, demand))
+		worst = max(worst, Skew(p, demand, Bounds{}))
 	}
 	c.Assert(worst < 1.25, qt.IsTrue, qt.Commentf("%f", worst))
 }
