--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -162,6 +162,10 @@
 		x.fail(http.StatusServiceUnavailable, "no catalog yet", noCatalogRetry)
 		return false
 	}
+	if limit := x.current.Limits.HeaderBytes; limit > 0 && headerBytes(x.r) > limit {
+		x.fail(http.StatusRequestHeaderFieldsTooLarge, "head too large", 0)
+		return false
+	}
 	x.route = x.current.MatchRoute(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
 		return x.deny(http.StatusNotFound, "no route")
@@ -186,6 +190,19 @@
 	return true
 }
 
+// headerBytes is the size of a request's head on the wire.
+func headerBytes(r *http.Request) int {
+	const lineEnd, separator = 2, 2
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + 2 + lineEnd
+	n += len("Host") + separator + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + separator + len(v) + lineEnd
+		}
+	}
+	return n + lineEnd
+}
+
 // patienceUsed is the part of a caller's patience after which a silent stream is
 // given up: the caller must hear of it before it leaves.
 const patienceUsed = 0.88
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -19,6 +19,7 @@
 	"siskinfall/internal/fleet/subscriber"
 	"siskinfall/internal/fleet/watcher"
 	"siskinfall/internal/gateway/budgeter"
+	"siskinfall/internal/gateway/evictor"
 	"siskinfall/internal/gateway/forwarder"
 	"siskinfall/internal/gateway/placer"
 	"siskinfall/internal/gateway/quarantiner"
@@ -36,13 +37,10 @@
 	memoryFraction = 0.6
 	// cutMargin is the part of the grace left for the end of the process.
 	cutMargin = 400 * time.Millisecond
-	// callerIdle is how long an idle connection of a caller is kept. It is longer
-	// than any caller waits before it uses a connection again.
-	callerIdle = 3 * time.Minute
-	// callerHeader bounds the wait for a request's head, and the head itself in
-	// bytes.
-	callerHeader      = 5 * time.Second
-	callerHeaderBytes = 64 << 10
+	// adminHeader bounds the wait for the head of an operator's request.
+	adminHeader = 5 * time.Second
+	// mostHeaderBytes bounds a head whatever the catalog allows.
+	mostHeaderBytes = 64 << 10
 	// keepPeriod is how often idle connections and lapsed entries are looked at.
 	keepPeriod = 500 * time.Millisecond
 )
@@ -127,11 +125,9 @@
 	if err != nil {
 		return err
 	}
-	front := &http.Server{
-		Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle,
-		MaxHeaderBytes: callerHeaderBytes,
-	}
-	operate := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: callerHeader}
+	front := &http.Server{Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: mostHeaderBytes} //nolint:gosec // the evictor bounds the head's time
+	callers = evictor.New(g.catalog).Watch(front, callers)
+	operate := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: adminHeader}
 	var wg sync.WaitGroup
 	goAll(ctx, &wg, g.watch.RunCatalog, g.watch.RunServers, tuner.Run, g.keep, reload(RoleGateway), g.subscribe.Run, g.gossip.Run)
 	wg.Go(func() { _ = connector.NewAcceptor(g.hello, g.handle).Serve(ctx, peers) })
