Large groups are sampled, maps told by their changes; mixed readings are not planned for

Ruled out: noise of the counts (moves 0.02 of the demand between two readings at rest). Change: counts of 23 of 63 ranks each round, the whole group every 1.2 s and before a change; prepare carries the difference to the map that the rank has, with a digest of the whole; a reading across a change of demand is followed by another 180 ms later before anything is planned; the order goes out before the first look at the copies.

--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -23,9 +23,12 @@
 const (
 	// period is the pause between two rounds: some four passes.
 	period = 250 * time.Millisecond
-	// periodRanks is the size of a group from which rounds are further apart, so that
-	// the counts of all ranks fit the leader's link.
-	periodRanks = 16
+	// settlePause is the pause after a reading during which demand changed: some
+	// three passes, whose counts are of the new demand only.
+	settlePause = 180 * time.Millisecond
+	// wholePeriod is how often a large group is read whole although nothing pays, to
+	// see its slow ranks and to be heard by all.
+	wholePeriod = 1200 * time.Millisecond
 	// silence is how long the lower ranks may be silent before this one leads; it
 	// is two rounds.
 	silence = 550 * time.Millisecond
@@ -63,6 +66,14 @@
 	knownVersion uint64
 	demand       *sampler.Demand
 	shape        [2]int
+	// sources are the engines whose counts are read in the rounds of a large group,
+	// as of the whole reading of sourcesEpoch at wholeAt; slowness is that of all
+	// ranks then, and lastStep the latest pass seen.
+	sources      []netip.AddrPort
+	sourcesEpoch uint64
+	wholeAt      time.Time
+	slowness     []float64
+	lastStep     uint64
 	// heldSince and heldStep tell for how long a pass has been held.
 	heldSince time.Time
 	heldStep  uint64
@@ -95,7 +106,7 @@
 // shouldLead reports whether no lower rank has been heard of for long enough.
 func (b *Balancer) shouldLead(rank int, now time.Time) bool {
 	quiet := now.Sub(time.Unix(0, b.lower.Load()))
-	lead := rank == 0 || quiet > time.Duration(b.roundFactor())*silence+time.Duration(rank)*silenceStep
+	lead := rank == 0 || quiet > silence+time.Duration(rank)*silenceStep
 	if lead != b.leading {
 		log.Info("leadership changed", "event", "leader", "leads", lead, "rank", rank, "quiet", quiet)
 		b.leading = lead
@@ -104,9 +115,6 @@
 	return lead
 }
 
-// roundFactor is how much further apart the rounds of a large group are.
-func (b *Balancer) roundFactor() int { return max(len(b.engines())/periodRanks, 1) }
-
 // round reads the group and changes its map if that pays. It returns the pause
 // until the next round.
 func (b *Balancer) round(ctx context.Context) time.Duration {
@@ -120,6 +128,11 @@
 	if own.Broken || engine == nil || engine.Layers == 0 || !b.shouldLead(own.Rank, time.Now()) {
 		return period
 	}
+	if !sampler.IsWhole(own.Size) {
+		if pause, ok := b.sample(ctx, own, engine); ok {
+			return pause
+		}
+	}
 	g, ok := b.read(ctx, own)
 	if !ok {
 		return period
@@ -132,13 +145,50 @@
 		// A change comes into force at the next pass.
 		return stuckPoll
 	}
+	if sampler.IsWhole(own.Size) && !b.observe(g, engine) || !b.learnPlacement(g, engine) {
+		return period
+	}
+	if b.demand == nil || b.demand.Get() == nil {
+		return period
+	}
+	if b.demand.IsMixed() {
+		return settlePause
+	}
 	b.balance(ctx, g, own, engine)
-	return time.Duration(b.roundFactor()) * period
+	return period
+}
+
+// sample reads a part of a large group, and reports whether that is all there is
+// to do in this round.
+func (b *Balancer) sample(ctx context.Context, own *commander.Status, engine *holder.Engine) (time.Duration, bool) {
+	if b.sourcesEpoch != own.Epoch || time.Since(b.wholeAt) > wholePeriod {
+		return 0, false
+	}
+	q := commander.Query{LeaderRank: own.Rank, WithCounts: true, KnownVersion: b.knownVersion}
+	seen := make([]*commander.Status, 0, len(b.sources))
+	step := uint64(0)
+	for _, s := range b.commander.ReadAll(ctx, b.sources, q) {
+		if s == nil || s.Epoch != own.Epoch || s.Broken || s.Held != nil || s.Armed != nil || s.Version != b.knownVersion {
+			// Only the whole group can tell what to do.
+			return 0, false
+		}
+		seen = append(seen, s)
+		step = max(step, s.Step)
+	}
+	stands := step == b.lastStep && own.Running > 0
+	b.lastStep = step
+	switch {
+	case !b.observe(seen, engine):
+		return period, !stands
+	case b.demand.IsMixed():
+		return settlePause, true
+	}
+	return period, !stands && !b.isSkewed(engine)
 }
 
 // read reads all ranks of the own group.
 func (b *Balancer) read(ctx context.Context, own *commander.Status) (commander.Group, bool) {
-	q := commander.Query{LeaderRank: own.Rank, WithCounts: true, KnownVersion: b.knownVersion}
+	q := commander.Query{LeaderRank: own.Rank, WithCounts: sampler.IsWhole(own.Size), KnownVersion: b.knownVersion}
 	var mine []*commander.Status
 	for _, s := range b.commander.ReadAll(ctx, b.engines(), q) {
 		if s != nil && s.Group == own.Group {
@@ -150,9 +200,33 @@
 		log.Info("group not read whole", "event", "group_partial", "group", own.Group, "read", len(mine), "size", own.Size, "error", err)
 		return nil, false
 	}
+	b.noteWhole(g)
 	return g, true
 }
 
+// noteWhole learns from a reading of all ranks which of them to sample.
+func (b *Balancer) noteWhole(g commander.Group) {
+	b.sources, b.sourcesEpoch, b.wholeAt = b.sources[:0], g.Epoch(), time.Now()
+	b.slowness = make([]float64, len(g))
+	for rank, s := range g {
+		b.slowness[rank] = s.Slowness
+		if sampler.IsSource(rank, len(g)) {
+			b.sources = append(b.sources, s.Addr)
+		}
+	}
+}
+
+// bounds are those of the next plan.
+func (b *Balancer) bounds(engine *holder.Engine) shifter.Bounds {
+	return shifter.Bounds{Places: engine.SlotsPerRank, Spare: engine.Spare, Slowness: b.slowness}
+}
+
+// isSkewed reports whether a plan might pay: none lowers the skew below 1, and
+// planning for a large group is dear.
+func (b *Balancer) isSkewed(engine *holder.Engine) bool {
+	return shifter.Skew(b.placement, b.demand.Get(), b.bounds(engine)) >= 1+minLoss
+}
+
 // handleHeld waits for whoever holds a pass, and ends the hold if nobody does.
 func (b *Balancer) handleHeld(ctx context.Context, g commander.Group, own *commander.Status, engine *holder.Engine) time.Duration {
 	step := *g.Held().Held
@@ -172,29 +246,22 @@
 	return stuckPoll
 }
 
-// balance observes, plans and changes.
+// balance plans and changes.
 func (b *Balancer) balance(ctx context.Context, g commander.Group, own *commander.Status, engine *holder.Engine) {
-	if !b.observe(g, engine) || !b.learnPlacement(g, engine) {
+	if !b.isSkewed(engine) {
 		return
 	}
 	start := time.Now()
-	slowness := make([]float64, len(g))
-	for i, s := range g {
-		slowness[i] = s.Slowness
-	}
-	bounds := shifter.Bounds{Places: engine.SlotsPerRank, Spare: engine.Spare, Slowness: slowness}
-	if shifter.Skew(b.placement, b.demand.Get(), bounds) < 1+minLoss {
-		// No plan lowers it by enough, and planning for a large group is dear.
-		return
-	}
-	plan := shifter.Next(b.placement, b.demand.Get(), bounds)
+	plan := shifter.Next(b.placement, b.demand.Get(), b.bounds(engine))
 	planned := time.Since(start)
 	copying := b.copyTime(plan, engine)
 	if plan.Before-plan.After < max(minLoss, copySlowdown*copying.Seconds()/horizon.Seconds()) {
 		return
 	}
 	version := b.commander.NewVersion(g, own.Rank, time.Now())
-	err := b.commander.Change(ctx, g, own, version, plan.Placement)
+	err := b.commander.Change(ctx, g, own, commander.Prepare{
+		Version: version, Placement: plan.Placement, BaseVersion: b.knownVersion, Base: b.placement,
+	})
 	if err == nil {
 		b.placement, b.knownVersion = plan.Placement, version
 	}
@@ -211,16 +278,16 @@
 	return time.Duration(float64(p.Most) * float64(engine.ExpertBytes) / engine.LinkRate * float64(time.Second))
 }
 
-// observe takes in the counts of all ranks, and reports whether there is a demand
+// observe takes in the counts of ranks, and reports whether there is a demand
 // to plan for.
-func (b *Balancer) observe(g commander.Group, engine *holder.Engine) bool {
+func (b *Balancer) observe(seen []*commander.Status, engine *holder.Engine) bool {
 	shape := [2]int{engine.Layers, engine.Experts}
 	if b.demand == nil || b.shape != shape {
 		b.demand, b.shape = sampler.New(engine.Layers, engine.Experts), shape
 	}
-	counts := make(map[string][]uint64, len(g))
-	epochs := make(map[string]uint64, len(g))
-	for _, s := range g {
+	counts := make(map[string][]uint64, len(seen))
+	epochs := make(map[string]uint64, len(seen))
+	for _, s := range seen {
 		if len(s.Counts) > 0 {
 			counts[s.Addr.String()] = s.Counts
 			epochs[s.Addr.String()] = uint64(s.Started.UnixMilli())
--- a/internal/group/commander/change.go
+++ b/internal/group/commander/change.go
@@ -12,15 +12,14 @@
 
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fault/wrapper"
-	"siskinfall/internal/group/shifter"
 	"siskinfall/internal/process/sleeper"
 )
 
 // Change brings a placement into force. It returns when every rank is armed and
 // the pass is released, or with an error when the change was not made or has to
 // be finished by Recover.
-func (c *Commander) Change(ctx context.Context, g Group, own *Status, version uint64, p shifter.Placement) error {
-	if err := c.prepare(ctx, g, version, p); err != nil {
+func (c *Commander) Change(ctx context.Context, g Group, own *Status, order Prepare) error {
+	if err := c.prepare(ctx, g, order); err != nil {
 		return err
 	}
 	if c.lost.Swap(false) {
@@ -32,30 +31,32 @@
 	if err != nil {
 		return err
 	}
-	return c.finish(ctx, g, []held{{Status: own, step: step}}, nil, Armed{Version: version, Step: step})
+	return c.finish(ctx, g, []held{{Status: own, step: step}}, nil, Armed{Version: order.Version, Step: step})
 }
 
 // prepare copies a map to all ranks, the first rank deciding among leaders.
-func (c *Commander) prepare(ctx context.Context, g Group, version uint64, p shifter.Placement) error {
+func (c *Commander) prepare(ctx context.Context, g Group, order Prepare) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
 	first := g.First()
 	// Another leader's map may be prepared everywhere and about to be armed. Then
 	// the other ranks keep it until the first rank has given it up.
 	pending := first.Prepared != nil && *first.Prepared > first.Version
-	order := Prepare{Version: version, Placement: p}
 	if err := c.prepareFirst(ctx, g, order); err != nil {
 		return err
 	}
 	sent := make([]bool, len(g))
 	sent[0] = true
+	if !pending {
+		c.sendAll(ctx, g, sent, Directive{Order: order, Epoch: g.Epoch()})
+	}
 	for {
 		all := c.readAll(ctx, g, Query{LeaderRank: first.Rank})
 		ready, err := checkPrepared(g, all, sent, order)
 		if err != nil || ready {
 			return err
 		}
-		if !pending || all[0] != nil && all[0].Prepared != nil && *all[0].Prepared == version {
+		if !pending || all[0] != nil && all[0].Prepared != nil && *all[0].Prepared == order.Version {
 			c.sendAll(ctx, g, sent, Directive{Order: order, Epoch: g.Epoch()})
 		}
 		if sleeper.Sleep(ctx, preparePoll); ctx.Err() != nil {
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -84,6 +84,10 @@
 type Prepare struct {
 	Version   uint64
 	Placement shifter.Placement
+	// Base is the placement of BaseVersion, which the ranks may have; nil if it is
+	// not known. It only saves bytes.
+	BaseVersion uint64
+	Base        shifter.Placement
 }
 
 // Arm brings a prepared map into force at a pass.
--- a/internal/group/commander/commander_test.go
+++ b/internal/group/commander/commander_test.go
@@ -75,7 +75,7 @@
 		if group.Armed() != nil {
 			continue
 		}
-		_ = c.Change(ctx, group, group[rank], c.NewVersion(group, rank, time.Now().AddDate(27, 0, 0)), randomPlacement(rng))
+		_ = c.Change(ctx, group, group[rank], Prepare{Version: c.NewVersion(group, rank, time.Now().AddDate(27, 0, 0)), Placement: randomPlacement(rng)})
 	}
 }
 
@@ -196,7 +196,7 @@
 		group, err := NewGroup(cmd.ReadAll(ctx, addrs, Query{}))
 		c.Assert(err, qt.IsNil)
 		p := randomPlacement(rand.New(rand.NewPCG(5, 5)))
-		c.Assert(cmd.Change(ctx, group, group[1], cmd.NewVersion(group, 1, time.Now().AddDate(27, 0, 0)), p), qt.IsNil)
+		c.Assert(cmd.Change(ctx, group, group[1], Prepare{Version: cmd.NewVersion(group, 1, time.Now().AddDate(27, 0, 0)), Placement: p}), qt.IsNil)
 		time.Sleep(time.Second)
 		g.mu.Lock()
 		for r, rank := range g.ranks {
--- a/internal/group/messenger/codec.go
+++ b/internal/group/messenger/codec.go
@@ -7,7 +7,6 @@
 
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/group/commander"
-	"siskinfall/internal/group/shifter"
 	"siskinfall/internal/wire/encoder"
 )
 
@@ -72,11 +71,15 @@
 func encodeLists(lists [][]int) []*encoder.ExpertList {
 	out := make([]*encoder.ExpertList, 0, len(lists))
 	for _, list := range lists {
-		experts := make([]uint32, 0, len(list))
-		for _, e := range list {
-			experts = append(experts, uint32(e))
-		}
-		out = append(out, &encoder.ExpertList{Experts: experts})
+		out = append(out, &encoder.ExpertList{Experts: encodeList(list)})
+	}
+	return out
+}
+
+func encodeList(list []int) []uint32 {
+	out := make([]uint32, 0, len(list))
+	for _, e := range list {
+		out = append(out, uint32(e))
 	}
 	return out
 }
@@ -84,11 +87,15 @@
 func decodeLists(lists []*encoder.ExpertList) [][]int {
 	out := make([][]int, 0, len(lists))
 	for _, list := range lists {
-		experts := make([]int, 0, len(list.GetExperts()))
-		for _, e := range list.GetExperts() {
-			experts = append(experts, int(e))
-		}
-		out = append(out, experts)
+		out = append(out, decodeList(list.GetExperts()))
+	}
+	return out
+}
+
+func decodeList(list []uint32) []int {
+	out := make([]int, 0, len(list))
+	for _, e := range list {
+		out = append(out, int(e))
 	}
 	return out
 }
@@ -101,6 +108,10 @@
 	switch o := d.Order.(type) {
 	case commander.Prepare:
 		out.Operation, out.Version = operationPrepare, o.Version
+		if o.Base != nil {
+			out.BaseVersion, out.Changes, out.Digest = o.BaseVersion, diff(o.Base, o.Placement), digest(o.Placement)
+			break
+		}
 		for _, ranks := range o.Placement {
 			out.Placement = append(out.Placement, &encoder.PlacementSet{Ranks: encodeLists(ranks)})
 		}
@@ -116,7 +127,8 @@
 	return out
 }
 
-func decodeOrder(m *encoder.EngineOrder) (commander.Directive, error) {
+// decodeOrder puts a map together from what is known. It returns errNeedsWhole.
+func decodeOrder(m *encoder.EngineOrder, known *placements) (commander.Directive, error) {
 	d := commander.Directive{Epoch: m.GetEpoch()}
 	if m.GetHasSequence() {
 		v := m.GetSequence()
@@ -124,10 +136,11 @@
 	}
 	switch m.GetOperation() {
 	case operationPrepare:
-		p := make(shifter.Placement, 0, len(m.GetPlacement()))
-		for _, set := range m.GetPlacement() {
-			p = append(p, decodeLists(set.GetRanks()))
+		p, err := decodePlacement(m, known)
+		if err != nil {
+			return d, err
 		}
+		known.add(m.GetVersion(), p)
 		d.Order = commander.Prepare{Version: m.GetVersion(), Placement: p}
 	case operationArm:
 		d.Order = commander.Arm{Armed: commander.Armed{Version: m.GetVersion(), Step: m.GetStep()}}
--- a/internal/group/messenger/messenger.go
+++ b/internal/group/messenger/messenger.go
@@ -38,6 +38,8 @@
 	mu        sync.Mutex
 	// far holds such clients by address.
 	far map[netip.AddrPort]Engine
+	// known holds the maps that this sidecar was sent.
+	known *placements
 }
 
 // New returns a Messenger of the sidecar beside the engine at own; port is that
@@ -45,6 +47,7 @@
 func New(own netip.AddrPort, port uint16, pool *connector.Pool, newEngine func(netip.AddrPort) Engine) *Messenger {
 	return &Messenger{
 		own: own, port: port, pool: pool, engine: newEngine(own), newEngine: newEngine, far: make(map[netip.AddrPort]Engine),
+		known: newPlacements(),
 	}
 }
 
@@ -108,8 +111,12 @@
 	}
 	near, cancel := shorten(ctx)
 	defer cancel()
-	result := &encoder.EngineResult{}
-	err := m.pool.Call(near, m.sidecar(engine), &encoder.Open{Kind: &encoder.Open_EngineOrder{EngineOrder: encodeOrder(d)}}, result)
+	result, err := m.order(near, engine, d)
+	if p, ok := d.Order.(commander.Prepare); ok && err == nil && result.GetNeedsWhole() {
+		p.Base = nil
+		d.Order = p
+		result, err = m.order(near, engine, d)
+	}
 	if err != nil {
 		m.drop(engine, err)
 		return m.getFar(engine).Send(ctx, d)
@@ -123,6 +130,13 @@
 	return wrapper.At("order", engine.String(), commander.ErrConflict)
 }
 
+// order gives an order to the sidecar of an engine.
+func (m *Messenger) order(ctx context.Context, engine netip.AddrPort, d commander.Directive) (*encoder.EngineResult, error) {
+	result := &encoder.EngineResult{}
+	open := &encoder.Open{Kind: &encoder.Open_EngineOrder{EngineOrder: encodeOrder(d)}}
+	return result, m.pool.Call(ctx, m.sidecar(engine), open, result)
+}
+
 // Serve answers a query or an order of another sidecar on this instance's engine.
 func (m *Messenger) Serve(ctx context.Context, open *encoder.Open, s *connector.Stream) error {
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
@@ -138,7 +152,10 @@
 		}
 		return s.Send(encodeStatus(st))
 	case *encoder.Open_EngineOrder:
-		d, err := decodeOrder(k.EngineOrder)
+		d, err := decodeOrder(k.EngineOrder, m.known)
+		if errors.Is(err, errNeedsWhole) {
+			return s.Send(&encoder.EngineResult{NeedsWhole: true})
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/group/sampler/sampler.go
+++ b/internal/group/sampler/sampler.go
@@ -13,6 +13,9 @@
 	level [][]float64
 	// weight is how much was seen since the level was last set, in readings.
 	weight float64
+	// mixed says that the level comes from a reading during which demand changed: it
+	// is partly of the old demand.
+	mixed bool
 }
 
 type reading struct {
@@ -79,9 +82,12 @@
 		return false
 	}
 	if d.level == nil || d.hasChanged(fresh) {
+		// Of two changes in a row the second is the end of the first.
+		d.mixed = d.level != nil && !d.mixed
 		d.level, d.weight = fresh, 1
 		return true
 	}
+	d.mixed = false
 	d.weight++
 	w := max(newest, 1/d.weight)
 	for s := range fresh {
@@ -103,5 +109,9 @@
 	return moved/float64(d.sets) > sudden
 }
 
+// IsMixed reports whether the demand is partly that of a time before a change, so
+// that another reading is needed before it is planned for.
+func (d *Demand) IsMixed() bool { return d.mixed }
+
 // Get returns the demand by set and expert, nil before the first.
 func (d *Demand) Get() [][]float64 { return d.level }
--- a/internal/group/sampler/sampler_test.go
+++ b/internal/group/sampler/sampler_test.go
@@ -44,3 +44,43 @@
 	c.Assert(d.Observe(map[string][]uint64{"a": {3, 510}}, epochs), qt.IsTrue)
 	c.Assert(d.Observe(map[string][]uint64{"a": {1}}, epochs), qt.IsFalse)
 }
+
+// TestMixedReadingIsNotPlannedFor changes demand in the middle of a reading.
+func TestMixedReadingIsNotPlannedFor(t *testing.T) {
+	c := qt.New(t)
+	d := New(1, 4)
+	counts := map[string][]uint64{"a": make([]uint64, 4), "b": make([]uint64, 4)}
+	feed(d, counts, 0, 4)
+	c.Assert(d.IsMixed(), qt.IsFalse)
+	for _, source := range []string{"a", "b"} {
+		next := append([]uint64(nil), counts[source]...)
+		for e := range next {
+			next[e] += 10
+		}
+		next[0] += 35
+		next[3] += 35
+		counts[source] = next
+	}
+	d.Observe(counts, map[string]uint64{"a": 1, "b": 1})
+	c.Assert(d.IsMixed(), qt.IsTrue)
+	feed(d, counts, 3, 1)
+	c.Assert(d.IsMixed(), qt.IsFalse)
+	c.Assert(math.Abs(d.Get()[0][3]-80.0/110) < 0.01, qt.IsTrue)
+	feed(d, counts, 3, 1)
+	c.Assert(d.IsMixed(), qt.IsFalse)
+}
+
+// TestSourcesOfALargeGroup counts the ranks that are read.
+func TestSourcesOfALargeGroup(t *testing.T) {
+	c := qt.New(t)
+	for size, want := range map[int]int{12: 12, 24: 24, 63: 23, 300: 26} {
+		n := 0
+		for rank := range size {
+			if IsSource(rank, size) {
+				n++
+			}
+		}
+		c.Assert(n, qt.Equals, want, qt.Commentf("%d ranks", size))
+		c.Assert(IsWhole(size), qt.Equals, n == size)
+	}
+}
