Gateways draw three engines for a request instead of all taking the same one

Change: three engines drawn at random, the best of them taken if it has room; else all are compared as before.

--- a/internal/gateway/placer/score.go
+++ b/internal/gateway/placer/score.go
@@ -100,10 +100,42 @@
 }
 
 // pick returns the server with the lowest score; equal ones get equal shares.
+// Engines are drawn first, so that gateways which have seen the same reports do not
+// all take the same one before it reports again.
 func (p *Placer) pick(w Work, now time.Time) *server {
+	all := p.byService[w.Service]
+	if p.engines[w.Service] != nil {
+		if best, score := p.pickAmong(p.draw(all, w), w, now); best != nil && score < silentScore && best.estimate(now) < best.Slots {
+			return best
+		}
+	}
+	best, _ := p.pickAmong(all, w, now)
+	return best
+}
+
+// drawn is the number of engines compared for one request: with two the load is
+// already far more even than by chance, from six on gateways crowd again.
+const drawn = 3
+
+// draw returns some servers that were not tried.
+func (p *Placer) draw(all []*server, w Work) []*server {
+	out := make([]*server, 0, drawn)
+	for seen, i := range rand.Perm(len(all)) {
+		if len(out) == drawn || seen == len(all) {
+			break
+		}
+		if !slices.Contains(w.Exclude, all[i].ID) {
+			out = append(out, all[i])
+		}
+	}
+	return out
+}
+
+// pickAmong returns the server with the lowest score, and that score.
+func (p *Placer) pickAmong(list []*server, w Work, now time.Time) (*server, float64) {
 	var best *server
 	bestScore, ties := 0.0, 0
-	for _, s := range p.byService[w.Service] {
+	for _, s := range list {
 		if slices.Contains(w.Exclude, s.ID) {
 			continue
 		}
@@ -118,7 +150,7 @@
 			}
 		}
 	}
-	return best
+	return best, bestScore
 }
 
 // score is lower for a server that should get the next request.
