Engines are drawn by the number of gateways, slow ones never

Change: a lone gateway compares all; the draw is engines / gateways, at least three, of sound engines only.

--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -154,6 +154,8 @@
 	shed map[string]time.Time
 	// callers is kept by route.
 	callers map[string]*callers
+	// gateways is how many place at the same servers, this one included.
+	gateways int
 }
 
 // New returns a Placer without servers.
@@ -161,7 +163,7 @@
 	return &Placer{
 		servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine),
 		outages: make(map[string]*outage), groups: make(map[string]*group), callers: make(map[string]*callers),
-		shed: make(map[string]time.Time),
+		shed: make(map[string]time.Time), gateways: 1,
 	}
 }
 
--- a/internal/gateway/placer/score.go
+++ b/internal/gateway/placer/score.go
@@ -104,7 +104,7 @@
 // all take the same one before it reports again.
 func (p *Placer) pick(w Work, now time.Time) *server {
 	all := p.byService[w.Service]
-	if p.engines[w.Service] != nil {
+	if p.engines[w.Service] != nil && p.gateways > 1 {
 		if best, score := p.pickAmong(p.draw(all, w), w, now); best != nil && score < silentScore && best.estimate(now) < best.Slots {
 			return best
 		}
@@ -113,18 +113,33 @@
 	return best
 }
 
-// drawn is the number of engines compared for one request: with two the load is
-// already far more even than by chance, from six on gateways crowd again.
-const drawn = 3
+const (
+	// leastDrawn is the number of engines compared for one request while many gateways
+	// place: with two the load is already far more even than by chance, from six on
+	// gateways crowd again.
+	leastDrawn = 3
+	// soundSlowness is that of an engine that is drawn: a slower one sets the pace of
+	// its group, so it is taken only when all are compared.
+	soundSlowness = 1.25
+)
+
+// SetGateways says how many gateways place at the same servers. A lone one knows
+// all there is to know and compares all.
+func (p *Placer) SetGateways(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gateways = max(n, 1)
+}
 
-// draw returns some servers that were not tried.
+// draw returns some sound servers that were not tried.
 func (p *Placer) draw(all []*server, w Work) []*server {
-	out := make([]*server, 0, drawn)
-	for seen, i := range rand.Perm(len(all)) {
-		if len(out) == drawn || seen == len(all) {
+	n := max(len(all)/p.gateways, leastDrawn)
+	out := make([]*server, 0, n)
+	for _, i := range rand.Perm(len(all)) {
+		if len(out) == n {
 			break
 		}
-		if !slices.Contains(w.Exclude, all[i].ID) {
+		if all[i].load.Slowness <= soundSlowness && !slices.Contains(w.Exclude, all[i].ID) {
 			out = append(out, all[i])
 		}
 	}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -80,6 +80,7 @@
 	g.peers = connector.NewPool(g.hello)
 	g.gossip = gossiper.New(cfg.Listen.Peers, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.crashes, func(n int) {
 		g.budget.SetGateways(n)
+		g.placer.SetGateways(n)
 		g.watch.SetGateways(n)
 	})
 	g.subscribe = subscriber.New(cfg.Listen.Peers, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossip.AddGateways)
