--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/catalog/holder"
@@ -25,6 +26,10 @@
 	// period is how often a gateway asks each other one. A change must be in force
 	// within two seconds; asking takes a few milliseconds.
 	period = 400 * time.Millisecond
+	// periodGateways is the number of gateways from which each is asked less often, and
+	// mostPeriod bounds that: with more to ask, news comes as soon from one of them.
+	periodGateways = 12
+	mostPeriod     = 1200 * time.Millisecond
 	// answerLimit bounds the wait for an answer.
 	answerLimit = 1200 * time.Millisecond
 	// redialPause is the pause before a gateway is dialled again.
@@ -187,7 +192,7 @@
 			*lost = false
 		}
 		g.take(answer, addr, time.Now())
-		sleeper.Sleep(ctx, period)
+		sleeper.Sleep(ctx, g.period())
 	}
 	return nil
 }
@@ -218,10 +223,17 @@
 	}
 }
 
+// period is how often one gateway is asked.
+func (g *Gossiper) period() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return min(max(period*time.Duration(len(g.members))/periodGateways, period), mostPeriod)
+}
+
 // newSync tells what this gateway has, without the state itself.
 func (g *Gossiper) newSync(now time.Time) *encoder.GatewaySync {
 	m := &encoder.GatewaySync{
-		Address: g.own.String(), CatalogVersion: g.catalog.GetVersion(), ServersRevision: g.servers.GetChanged(),
+		Address: g.own.String(), GatewaysDigest: g.digest(g.liveMembers(now)), CatalogVersion: g.catalog.GetVersion(), ServersRevision: g.servers.GetChanged(),
 		CatalogAgeMillis: uint64(min(g.catalog.GetAge(now), memberLife).Milliseconds()),
 	}
 	for digest, n := range g.crashes.GetOwn(now) {
@@ -233,7 +245,9 @@
 // answer adds what the asker's versions lack.
 func (g *Gossiper) answer(asked *encoder.GatewaySync, now time.Time) (*encoder.GatewaySync, error) {
 	m := g.newSync(now)
-	m.Gateways = g.liveMembers(now)
+	if asked.GetGatewaysDigest() != m.GetGatewaysDigest() {
+		m.Gateways = g.liveMembers(now)
+	}
 	if c := g.catalog.Get(); c != nil && c.Version > asked.GetCatalogVersion() {
 		data, err := g.encodeCatalog(c)
 		if err != nil {
@@ -279,6 +293,16 @@
 	return out
 }
 
+// digest identifies a set of gateways, this one included; their order does not
+// matter.
+func (g *Gossiper) digest(others []string) uint64 {
+	sum := xxhash.Sum64String(g.own.String())
+	for _, addr := range others {
+		sum += xxhash.Sum64String(addr)
+	}
+	return sum
+}
+
 // take takes in an answer.
 func (g *Gossiper) take(m *encoder.GatewaySync, addr netip.AddrPort, now time.Time) {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/fleet/gossiper/gossiper_test.go
@@ -0,0 +1,117 @@
+package gossiper
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/fleet/lister"
+	"siskinfall/internal/gateway/quarantiner"
+	"siskinfall/internal/wire/connector"
+	"siskinfall/internal/wire/encoder"
+)
+
+// gateway is one gossiping process.
+type gateway struct {
+	*Gossiper
+	catalog *holder.Holder
+	// versions and counts get what the gateway learns.
+	versions chan uint64
+	counts   chan int
+}
+
+// startGateways starts gateways at loopback addresses of their own and one port, as
+// on the platform; each knows the first one only.
+func startGateways(c *qt.C, n int) []*gateway {
+	ctx, cancel := context.WithCancel(c.Context())
+	var wg sync.WaitGroup
+	c.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	port := uint16(0)
+	out := make([]*gateway, 0, n)
+	for i := range n {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(i + 1)}), port)
+		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
+		c.Assert(err, qt.IsNil)
+		own := netip.MustParseAddrPort(ln.Addr().String())
+		port = own.Port()
+		seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, 1}), 1)
+		hello := &encoder.Hello{Version: encoder.Version, Instance: own.String(), Role: "gateway"}
+		g := &gateway{catalog: holder.New(), versions: make(chan uint64, 16), counts: make(chan int, 1)}
+		g.catalog.OnChange(func(x *holder.Catalog) { g.versions <- x.Version })
+		pool := connector.NewPool(hello)
+		context.AfterFunc(ctx, pool.Close)
+		g.Gossiper = New(own, []netip.AddrPort{seed}, pool, g.catalog, lister.New(), quarantiner.New(), func(n int) {
+			select {
+			case <-g.counts:
+			default:
+			}
+			g.counts <- n
+		})
+		wg.Go(func() {
+			_ = connector.NewAcceptor(hello, func(_ context.Context, _ *encoder.Hello, _ *encoder.Open, s *connector.Stream) {
+				_ = g.Serve(s)
+			}).Serve(ctx, ln)
+		})
+		wg.Go(func() { g.Run(ctx) })
+		out = append(out, g)
+	}
+	return out
+}
+
+// TestCatalogReachesAllThroughOneSeed offers a catalog to one gateway while the
+// others know the seed only.
+func TestCatalogReachesAllThroughOneSeed(t *testing.T) {
+	c := qt.New(t)
+	const n = 6
+	all := startGateways(c, n)
+	all[n-1].catalog.Offer(&holder.Catalog{Version: 5}, "test")
+	for _, g := range all {
+		c.Assert(<-g.versions, qt.Equals, uint64(5))
+	}
+	for _, g := range all {
+		for got := 0; got != n; got = <-g.counts {
+		}
+	}
+}
+
+// TestMembersAreToldOnlyToWhoLacksThem compares an asker that knows the same
+// gateways with one that knows none.
+func TestMembersAreToldOnlyToWhoLacksThem(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	newOne := func(own byte) *Gossiper {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, own}), 80)
+		return New(addr, nil, nil, holder.New(), lister.New(), quarantiner.New(), func(int) {})
+	}
+	a, b := newOne(1), newOne(2)
+	a.AddGateways([]string{"127.0.2.2:80", "127.0.2.3:80"})
+	answer, err := a.answer(b.newSync(now), now)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.GetGateways(), qt.HasLen, 2)
+	b.AddGateways([]string{"127.0.2.3:80", "127.0.2.1:80"})
+	answer, err = a.answer(b.newSync(now), now)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.GetGateways(), qt.HasLen, 0)
+}
+
+// TestLargeFleetsAskEachMemberLessOften keeps what a gateway asks in a second
+// bounded in the number of gateways.
+func TestLargeFleetsAskEachMemberLessOften(t *testing.T) {
+	c := qt.New(t)
+	g := New(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, 1}), 80), nil, nil, holder.New(), lister.New(), quarantiner.New(), func(int) {})
+	c.Assert(g.period(), qt.Equals, period)
+	for i := range 44 {
+		g.add(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 3, byte(i)}), 80), time.Now())
+	}
+	c.Assert(g.period() > 2*period, qt.IsTrue)
+	c.Assert(g.period() < liveFor, qt.IsTrue)
+}
--- a/internal/fleet/subscriber/publisher.go
+++ b/internal/fleet/subscriber/publisher.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
 
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fault/wrapper"
@@ -180,13 +182,18 @@
 	}()
 	var told *encoder.EngineLoad
 	var toldAt time.Time
+	gateways := repeater{}
 	for {
 		load, changed := p.get()
 		if load != nil && (!sameLoad(told, load) || time.Since(toldAt) > quietPeriod) {
 			if err := s.SetWriteDeadline(time.Now().Add(sendLimit)); err != nil {
 				return wrapper.At("tell_load", gateway, err)
 			}
-			if err := s.Send(load); err != nil {
+			m := load
+			if !gateways.isDue(strings.Join(load.GetGateways(), ","), time.Now()) {
+				m = withoutGateways(load)
+			}
+			if err := s.Send(m); err != nil {
 				return err
 			}
 			told, toldAt = load, time.Now()
@@ -199,6 +206,16 @@
 	}
 }
 
+// withoutGateways is what changes often.
+func withoutGateways(load *encoder.EngineLoad) *encoder.EngineLoad {
+	m, ok := proto.Clone(load).(*encoder.EngineLoad)
+	if !ok {
+		return load
+	}
+	m.Gateways = nil
+	return m
+}
+
 func (p *Publisher) get() (*encoder.EngineLoad, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -145,12 +146,16 @@
 
 // sendNews tells a sidecar what this gateway knows.
 func (s *Subscriber) sendNews(ctx context.Context, st *connector.Stream, service string) {
+	shape := repeater{}
 	for ctx.Err() == nil {
 		news, err := s.newNews(service)
 		if err != nil {
 			log.Error("news not encoded", "event", "bad_news", "error", err)
 			return
 		}
+		if !shape.isDue(string(news.GetEngine())+strings.Join(news.GetEngines(), ","), time.Now()) {
+			news.Engine, news.Engines = nil, nil
+		}
 		if st.SetWriteDeadline(time.Now().Add(sendLimit)) != nil || st.Send(news) != nil {
 			_ = st.Close()
 			return
