--- a/cmd/siskinfall/explain.go
+++ b/cmd/siskinfall/explain.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -8,17 +9,14 @@
 
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/report/explainer"
+	"siskinfall/internal/report/summarizer"
 )
 
 // explainLogs tells the story of a request from log files alone.
 func (c *explainRequestCmd) explainLogs() error {
-	var lines []explainer.Line
-	for _, name := range c.Logs {
-		more, err := readLog(name)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, more...)
+	lines, err := readLogs(c.Logs)
+	if err != nil {
+		return err
 	}
 	story, ok := explainer.Explain(lines, c.RequestID)
 	if !ok {
@@ -34,10 +32,52 @@
 	if err := printTable("TIME\tINSTANCE\tWHAT", rows); err != nil {
 		return err
 	}
-	_, err := fmt.Println("cause:", story.Cause)
+	_, err = fmt.Println("cause:", story.Cause)
 	return err
 }
 
+type reportLogsCmd struct {
+	Files []string `arg:"positional,required" help:"log files of any processes; - is standard input"`
+	HTML  string   `arg:"--html" help:"write a page with plots to this file"`
+	JSON  bool     `arg:"--json" help:"print JSON"`
+}
+
+func (c *reportLogsCmd) run() error {
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	s := summarizer.New(lines)
+	switch {
+	case c.HTML != "":
+		return writePage(c.HTML, s.WriteHTML)
+	case c.JSON:
+		return printJSON(s)
+	}
+	return s.WriteText(os.Stdout)
+}
+
+// writePage writes a page to a file.
+func writePage(name string, write func(io.Writer) error) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return wrapper.At("write_page", name, err)
+	}
+	return errors.Join(write(f), f.Close())
+}
+
+func readLogs(names []string) ([]explainer.Line, error) {
+	var lines []explainer.Line
+	for _, name := range names {
+		more, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
 func readLog(name string) ([]explainer.Line, error) {
 	var r io.Reader = os.Stdin
 	if name != "-" {
--- a/cmd/siskinfall/operate.go
+++ b/cmd/siskinfall/operate.go
@@ -73,10 +73,14 @@
 }
 
 type reportCmd struct {
-	Burn *burnCmd `arg:"subcommand:burn" help:"service-level burn"`
+	Burn *burnCmd       `arg:"subcommand:burn" help:"service-level burn"`
+	Logs *reportLogsCmd `arg:"subcommand:logs" help:"requests by cause and map changes over time, from log files"`
 }
 
 func (c *reportCmd) run() error {
+	if c.Logs != nil {
+		return c.Logs.run()
+	}
 	if c.Burn == nil {
 		c.Burn = &burnCmd{}
 	}
@@ -94,12 +98,7 @@
 		return err
 	}
 	if c.HTML != "" {
-		f, err := os.Create(c.HTML)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = f.Close() }()
-		return r.WriteHTML(f)
+		return writePage(c.HTML, r.WriteHTML)
 	}
 	if c.JSON {
 		return printJSON(&r)
