Log lines dropped by kind; metrics on an address of their own

Cause: a full queue dropped whatever came next, also decisions against requests; sidecars offered no metrics, and the deploy file named none.

--- /dev/null
+++ b/internal/fleet/watcher/metrics.go
@@ -0,0 +1,16 @@
+package watcher
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// countRead counts calls to the store by table, of which there are two, and result.
+func countRead(table string, err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_store_reads_total{table=%q,result=%q}`, table, result)).Inc()
+}
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -149,6 +149,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		countRead(f.name, err)
 		if err == nil {
 			f.setAway(false, nil)
 			pause = firstPause
--- /dev/null
+++ b/internal/gateway/placer/metrics.go
@@ -0,0 +1,22 @@
+package placer
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+var (
+	ejections = metrics.NewCounter("siskinfall_gateway_ejections_total")
+	outages   = metrics.NewCounter("siskinfall_gateway_outages_total")
+)
+
+// countPlaced and countRefused count decisions by service; services are few, and
+// reasons are constants of this package.
+func countPlaced(service string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_gateway_placements_total{service=%q}`, service)).Inc()
+}
+
+func countRefused(service, reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_gateway_refusals_total{service=%q,reason=%q}`, service, reason)).Inc()
+}
--- a/internal/gateway/placer/outage.go
+++ b/internal/gateway/placer/outage.go
@@ -108,6 +108,7 @@
 	if o == nil {
 		o = &outage{since: now, probed: now}
 		p.outages[w.Service] = o
+		outages.Inc()
 		log.Warn("service stands still", "event", "outage", "service", w.Service, "broken", broken, "stalled", stalled,
 			"report_age", now.Sub(best.load.At))
 	}
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -268,6 +268,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	returned := p.noteCaller(w)
+	v := p.decide(w, returned, now)
+	if r, ok := v.(*Refused); ok {
+		countRefused(w.Service, r.Reason)
+	}
+	return v
+}
+
+func (p *Placer) decide(w Work, returned bool, now time.Time) Verdict {
 	best := p.pick(w, now)
 	if best == nil {
 		return &Refused{Reason: "no backend server", After: w.bound(defaultRetry, now)}
@@ -284,6 +292,7 @@
 	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), Reported: best.load.At, decided: now, server: best, placer: p}
 	best.own++
 	best.delta++
+	countPlaced(w.Service)
 	return placed
 }
 
@@ -297,6 +306,7 @@
 	s.note(outcome, now)
 	x.placer.noteShed(s, x.Estimate, outcome, now)
 	if now.Before(s.ejectedUntil) {
+		ejections.Inc()
 		log.Info("backend server ejected", "event", "ejected", "server", s.ID, "failures", s.failures, "outcome", outcome.String(),
 			"for", s.ejection, "own", s.own, "failure_rate", s.rate)
 	}
--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -190,13 +190,16 @@
 func (b *Balancer) read(ctx context.Context, own *commander.Status) (commander.Group, bool) {
 	q := commander.Query{LeaderRank: own.Rank, WithCounts: sampler.IsWhole(own.Size), KnownVersion: b.knownVersion}
 	var mine []*commander.Status
+	start := time.Now()
 	for _, s := range b.commander.ReadAll(ctx, b.engines(), q) {
 		if s != nil && s.Group == own.Group {
 			mine = append(mine, s)
 		}
 	}
+	readSeconds.Update(time.Since(start).Seconds())
 	g, err := commander.NewGroup(mine)
 	if err != nil {
+		partialReads.Inc()
 		log.Info("group not read whole", "event", "group_partial", "group", own.Group, "read", len(mine), "size", own.Size, "error", err)
 		return nil, false
 	}
@@ -241,6 +244,7 @@
 	if b.learnPlacement(g, engine) {
 		present = b.placement
 	}
+	recoveries.Inc()
 	err := b.commander.Recover(ctx, g, own.Rank, now.Sub(b.heldSince), present)
 	log.Info("held pass ended", "event", "map_recovered", "pass", step, "held_for", now.Sub(b.heldSince), "error", err)
 	return stuckPoll
@@ -265,6 +269,7 @@
 	if err == nil {
 		b.placement, b.knownVersion = plan.Placement, version
 	}
+	countChange(err, time.Since(start), planned)
 	log.Info("map change", "event", "map_change", "group", own.Group, "epoch", g.Epoch(), "version", version, "pass", g.Step(),
 		"skew_before", plan.Before, "skew_after", plan.After, "copies", plan.Copies, "copy_time", copying, "planned_in", planned,
 		"took", time.Since(start), "error", err)
--- /dev/null
+++ b/internal/group/balancer/metrics.go
@@ -0,0 +1,27 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+var (
+	changesMade   = metrics.NewCounter(`siskinfall_map_changes_total{result="made"}`)
+	changesFailed = metrics.NewCounter(`siskinfall_map_changes_total{result="failed"}`)
+	changeSeconds = metrics.NewHistogram("siskinfall_map_change_seconds")
+	planSeconds   = metrics.NewHistogram("siskinfall_map_plan_seconds")
+	recoveries    = metrics.NewCounter("siskinfall_map_recoveries_total")
+	readSeconds   = metrics.NewHistogram("siskinfall_group_read_seconds")
+	partialReads  = metrics.NewCounter("siskinfall_group_partial_reads_total")
+)
+
+func countChange(err error, took, planned time.Duration) {
+	planSeconds.Update(planned.Seconds())
+	if err != nil {
+		changesFailed.Inc()
+		return
+	}
+	changesMade.Inc()
+	changeSeconds.Update(took.Seconds())
+}
--- a/internal/group/commander/order.go
+++ b/internal/group/commander/order.go
@@ -60,7 +60,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	start := time.Now()
 	err := c.transport.Send(ctx, s.Addr, d)
+	countOrder(err, time.Since(start))
 	if err != nil && !errors.Is(err, ErrConflict) {
 		c.lost.Store(true)
 	}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -130,6 +130,9 @@
 	callers = evictor.New(g.catalog).Watch(front, callers)
 	operate := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: adminHeader}
 	var wg sync.WaitGroup
+	if err := ls.serveMetrics(ctx, &wg, g.cfg.Listen.Metrics); err != nil {
+		return err
+	}
 	goAll(ctx, &wg, g.watch.RunCatalog, g.watch.RunServers, tuner.Run, g.keep, reload(RoleGateway), g.subscribe.Run, g.gossip.Run)
 	wg.Go(func() { _ = connector.NewAcceptor(g.hello, g.handle).Serve(ctx, peers) })
 	wg.Go(func() { serveHTTP(front, callers) })
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	agent "siskinfall/internal/agent/server"
@@ -91,6 +92,24 @@
 	return ln, nil
 }
 
+// serveMetrics serves counters and histograms on an address of their own until ctx
+// ends; without an address it does nothing.
+func (l *listeners) serveMetrics(ctx context.Context, wg *sync.WaitGroup, addr netip.AddrPort) error {
+	if !addr.IsValid() {
+		return nil
+	}
+	ln, err := l.bind(addr)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	wg.Go(func() { serveHTTP(s, ln) })
+	return nil
+}
+
 // process is what an entry instance and an agent have in common.
 type process struct {
 	hello *encoder.Hello
--- a/internal/process/launcher/sidecar.go
+++ b/internal/process/launcher/sidecar.go
@@ -61,6 +61,9 @@
 		return err
 	}
 	var wg sync.WaitGroup
+	if err := ls.serveMetrics(ctx, &wg, s.cfg.Listen.Metrics); err != nil {
+		return err
+	}
 	goAll(ctx, &wg, s.publisher.Run, s.balancer.Run, tuner.Run, reload(RoleSidecar))
 	wg.Go(func() { _ = connector.NewAcceptor(s.hello, s.handle).Serve(ctx, peers) })
 	log.Info("started", "event", "start", "role", RoleSidecar, "peers", peers.Addr(), "engine", s.cfg.Sidecar.Backend)
--- a/internal/report/logger/logger_test.go
+++ b/internal/report/logger/logger_test.go
@@ -18,9 +18,17 @@
 	buf  bytes.Buffer
 	gate chan struct{}
 	seen chan struct{}
+	// entered is closed by the first write.
+	entered chan struct{}
+	once    sync.Once
+}
+
+func newStuck() *stuck {
+	return &stuck{gate: make(chan struct{}), seen: make(chan struct{}), entered: make(chan struct{})}
 }
 
 func (s *stuck) Write(p []byte) (int, error) {
+	s.once.Do(func() { close(s.entered) })
 	<-s.gate
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -33,22 +41,47 @@
 // TestStuckReaderNeverBlocks logs far more than the queue holds while nobody reads.
 func TestStuckReaderNeverBlocks(t *testing.T) {
 	c := qt.New(t)
-	out := &stuck{gate: make(chan struct{}), seen: make(chan struct{})}
+	out := newStuck()
 	w := New(out)
+	const event = `{"event":"server"}` + "\n"
 	for range 3 * queueLines {
-		n, err := w.Write([]byte("line\n"))
+		n, err := w.Write([]byte(event))
 		c.Assert(err, qt.IsNil)
-		c.Assert(n, qt.Equals, 5)
+		c.Assert(n, qt.Equals, len(event))
 	}
-	c.Assert(w.lost.Load() >= 2*queueLines-1, qt.IsTrue)
+	_, _ = w.Write([]byte(`{"event":"ended","request":"last","reason":"no backend server"}` + "\n"))
 	close(out.gate)
-	for w.lost.Load() > 0 || len(w.lines) == queueLines {
-	}
-	_, _ = w.Write([]byte("last\n"))
 	<-out.seen
 	out.mu.Lock()
 	defer out.mu.Unlock()
 	c.Assert(out.buf.String(), qt.Contains, `"event":"log_dropped"`)
+	c.Assert(out.buf.String(), qt.Contains, `"by_event":"server:`)
+}
+
+// TestDecisionsAgainstRequestsAreDroppedLast fills the queue with each kind of line
+// in turn while nobody reads.
+func TestDecisionsAgainstRequestsAreDroppedLast(t *testing.T) {
+	c := qt.New(t)
+	const lines = 64
+	out := newStuck()
+	w := New(out, WithQueue(lines))
+	_, _ = w.Write([]byte(`{"event":"start"}` + "\n"))
+	<-out.entered
+	fillWith := func(line string) {
+		for range 2 * lines {
+			_, _ = w.Write([]byte(line + "\n"))
+		}
+	}
+	fillWith(`{"event":"ended","request":"1","reason":"answered"}`)
+	c.Assert(len(w.lines), qt.Equals, lines/2)
+	fillWith(`{"event":"outage","service":"llm"}`)
+	c.Assert(len(w.lines), qt.Equals, lines*3/4)
+	fillWith(`{"event":"ended","request":"2","reason":"can't be finished in time"}`)
+	c.Assert(len(w.lines), qt.Equals, lines)
+	counts, sum := w.takeLost()
+	c.Assert(counts, qt.Matches, `ended:\d+ outage:\d+`)
+	c.Assert(sum, qt.Equals, 5*lines)
+	close(out.gate)
 }
 
 // BenchmarkEndOfRequest is the line that each request costs.
@@ -56,8 +89,19 @@
 	l := log.NewWithOptions(New(io.Discard), log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter})
 	l = l.With("instance", "gateway-1", "availability_zone", "zone-a")
 	b.ReportAllocs()
+	var size countingWriter
+	defer func() { b.ReportMetric(float64(size)/float64(b.N), "bytes/line") }()
+	l.SetOutput(io.MultiWriter(New(io.Discard), &size))
 	for b.Loop() {
 		l.Info("request ended", "event", "ended", "request", "9c41d07be2a35f68", "status", 200, "reason", "answered", "route", "r-1",
 			"service", "llm", "took", time.Second, "sent", 1, "tried", []string{"i-1"}, "catalog", 7, "server", "i-1", "estimate", 8, "report_age", "12ms")
 	}
 }
+
+// countingWriter counts bytes.
+type countingWriter int
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	*w += countingWriter(len(p))
+	return len(p), nil
+}
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -26,6 +26,8 @@
 	Callers netip.AddrPort `yaml:"callers" comment:"entry: requests of client accounts (HTTP)"`
 	Admin   netip.AddrPort `yaml:"admin" comment:"operators, metrics, health (HTTP)"`
 	Peers   netip.AddrPort `yaml:"peers" comment:"other processes of siskinfall (yamux)"`
+	// Metrics may be left out.
+	Metrics netip.AddrPort `yaml:"metrics" comment:"gateway and sidecar: counters and histograms alone (HTTP); empty for none"`
 }
 
 // Platform says where the platform is.
