A line for each place given to a request; requests whose gateway ended are explained

Change: event placed, with server, among how many, estimate, age of the report; the explainer names the end of the gateway as the cause, and spent attempts. The golden stories have both kinds; aa05 was not explained before ('its end is not among these lines').

--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -67,6 +67,7 @@
 			return
 		case *placer.Placed:
 			x.placed = v
+			x.logPlaced(v)
 			step, ok := x.try(ctx, v).(again)
 			if !ok {
 				return
@@ -188,6 +189,13 @@
 	return again{sent: true, fail: failure{status: http.StatusBadGateway, reason: "connection to the backend server broke", after: notSentRetry}}
 }
 
+// logPlaced tells where a request goes: should this process end before it, no other
+// line does.
+func (x *exchange) logPlaced(p *placer.Placed) {
+	log.Info("request placed", "event", "placed", "request", x.ID, "route", x.route.Name, "service", x.service, "server", p.ID,
+		"among", p.Among, "estimate", p.Estimate, "report_age", p.ReportAge(), "sent", x.sent, "catalog", x.current.Version)
+}
+
 // logAttempt tells of an attempt that did not end in an answer.
 func (x *exchange) logAttempt(p *placer.Placed, result string, err error) {
 	log.Info("attempt ended", "event", "attempt", "request", x.ID, "server", p.ID, "service", x.service, "result", result,
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -68,9 +68,11 @@
 	// it never has.
 	Estimate int
 	Reported time.Time
-	decided  time.Time
-	server   *server
-	placer   *Placer
+	// Among is the number of servers in use of its service.
+	Among   int
+	decided time.Time
+	server  *server
+	placer  *Placer
 }
 
 // ReportAge tells the age of the report behind the decision, "none" without one.
@@ -289,7 +291,7 @@
 	if asserter.Holds(!best.Leaving, asserter.RuleNoNewWork, "%s is leaving", best.ID) != nil {
 		return &Refused{Reason: "backend server is leaving", After: w.bound(defaultRetry, now)}
 	}
-	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), Reported: best.load.At, decided: now, server: best, placer: p}
+	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), Among: len(p.byService[w.Service]), Reported: best.load.At, decided: now, server: best, placer: p}
 	best.own++
 	best.delta++
 	countPlaced(w.Service)
--- a/internal/report/explainer/explainer.go
+++ b/internal/report/explainer/explainer.go
@@ -17,6 +17,10 @@
 // told: an outage is noticed within half a second and ends within seconds.
 const around = 3 * time.Second
 
+// aroundOpen is how long after a request without an end its process is watched for: a
+// killed one is back within some twelve seconds.
+const aroundOpen = 13 * time.Second
+
 // maxLine bounds one log line, in bytes.
 const maxLine = 1 << 20
 
@@ -101,6 +105,9 @@
 	}
 	sort.SliceStable(own, func(i, j int) bool { return own[i].Time.Before(own[j].Time) })
 	first, last := own[0].Time.Add(-around), own[len(own)-1].Time.Add(around)
+	if own[len(own)-1].Event != "ended" {
+		last = own[len(own)-1].Time.Add(aroundOpen)
+	}
 	for _, l := range lines {
 		if beliefs[l.Event] && l.Request == "" && l.Time.After(first) && l.Time.Before(last) && touches(own, l) {
 			s.Lines = append(s.Lines, l)
@@ -154,7 +161,7 @@
 	status, _ := last.Fields["status"].(float64)
 	switch {
 	case last.Event != "ended":
-		return "its end is not among these lines: look for lines that were dropped, or for an end of the process"
+		return open(last, lines)
 	case reason == "answered":
 		return "it was answered"
 	case reason == "caller left":
@@ -165,12 +172,26 @@
 		return "refused without having run: " + reason + "; the estimate and the pass time say how full and how slow the group was"
 	case strings.HasPrefix(reason, "answer broke off"):
 		return "the stream was cut: its backend server broke off, and it could not be resumed (" + reason + ")" + since(lines, "outage")
+	case reason == "failed by the backend server":
+		return "each backend server that it was given answered with a failure, and no further attempt was allowed: the lines above name them"
 	case status == 502 || status == 504:
 		return "its outcome is open: it was handed over, and the backend server did not answer (" + reason + ")" + since(lines, "ejected")
 	}
 	return reason
 }
 
+// open names why the end of a request is not told.
+func open(last Line, lines []Line) string {
+	for _, l := range lines {
+		if l.Instance == last.Instance && l.Time.After(last.Time) && (l.Event == "start" || l.Event == "stop") {
+			return fmt.Sprintf("its outcome is open: its gateway ended while it was in work (%s at %s); it had gone to %s",
+				l.Event, l.Time.Format(time.RFC3339Nano), text(last.Fields["server"]))
+		}
+	}
+	return "its end is not among these lines: look for lines that were dropped, or for an end of its gateway without a start; it had gone to " +
+		text(last.Fields["server"])
+}
+
 // since adds when a belief of a kind was taken up.
 func since(lines []Line, event string) string {
 	for _, l := range lines {
--- a/internal/report/explainer/explainer_test.go
+++ b/internal/report/explainer/explainer_test.go
@@ -18,7 +18,7 @@
 	lines, err := Read(data)
 	c.Assert(err, qt.IsNil)
 	var b strings.Builder
-	for _, id := range []string{"aa01", "aa02", "aa03", "aa04"} {
+	for _, id := range []string{"aa01", "aa02", "aa03", "aa04", "aa05", "aa06"} {
 		s, ok := Explain(lines, id)
 		c.Assert(ok, qt.IsTrue)
 		fmt.Fprintf(&b, "request %s\n", id)
--- a/internal/report/logger/logger.go
+++ b/internal/report/logger/logger.go
@@ -78,6 +78,7 @@
 	eventField = []byte(`"event":"`)
 	ended      = []byte(`"event":"ended"`)
 	attempt    = []byte(`"event":"attempt"`)
+	placed     = []byte(`"event":"placed"`)
 	order      = []byte(`"event":"order"`)
 	answered   = []byte(`"reason":"answered"`)
 	request    = []byte(`"request":"`)
@@ -86,7 +87,7 @@
 // fill is the part of the queue up to which a line is taken.
 func fill(line []byte) float64 {
 	switch {
-	case bytes.Contains(line, ended) && bytes.Contains(line, answered), bytes.Contains(line, attempt), bytes.Contains(line, order):
+	case bytes.Contains(line, ended) && bytes.Contains(line, answered), bytes.Contains(line, attempt), bytes.Contains(line, placed), bytes.Contains(line, order):
 		return ordinaryFill
 	case !bytes.Contains(line, request):
 		return beliefFill
