--- a/internal/gateway/placer/outage.go
+++ b/internal/gateway/placer/outage.go
@@ -110,7 +110,7 @@
 		p.outages[w.Service] = o
 		outages.Inc()
 		log.Warn("service stands still", "event", "outage", "service", w.Service, "broken", broken, "stalled", stalled,
-			"report_age", now.Sub(best.load.At))
+			"report_age", reportAge(best.load.At, now))
 	}
 	if !broken && now.Sub(o.probed) >= probePeriod {
 		o.probed = now
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -76,11 +76,13 @@
 }
 
 // ReportAge tells the age of the report behind the decision, "none" without one.
-func (x *Placed) ReportAge() string {
-	if x.Reported.IsZero() {
+func (x *Placed) ReportAge() string { return reportAge(x.Reported, x.decided) }
+
+func reportAge(reported, now time.Time) string {
+	if reported.IsZero() {
 		return "none"
 	}
-	return x.decided.Sub(x.Reported).String()
+	return now.Sub(reported).String()
 }
 
 // Refused turns a request away.
