Pauses after a change at the store grow with the fleet

Change: from 12 gateways on the pause grows, up to 0.8 s, and is drawn between a half and the whole.

--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -46,8 +46,12 @@
 	// mostWait bounds that; the store allows 30 s.
 	mostWait = 16 * time.Second
 	// batchPause is how long changes are left to gather after one: servers come and
-	// leave together, and each call has a price.
-	batchPause = 200 * time.Millisecond
+	// leave together, and each call has a price. It grows with the gateways like the
+	// wait, up to mostBatchPause: a change must be in force within two seconds, and
+	// each pause is drawn between a half and the whole so that they do not all call at
+	// the same moment.
+	batchPause     = 200 * time.Millisecond
+	mostBatchPause = 800 * time.Millisecond
 	// firstPause and mostPause bound the pause after a failure. The longest keeps
 	// the return of the store unnoticed for less than half of the time in which
 	// a change has to be in force.
@@ -72,6 +76,16 @@
 	return min(max(waitTime*time.Duration(w.gateways.Load())/waitGateways, waitTime), mostWait)
 }
 
+// pause is how long changes are left to gather.
+func (w *Watcher) pause() time.Duration {
+	n := w.gateways.Load()
+	if n <= waitGateways {
+		return batchPause
+	}
+	longest := min(batchPause*time.Duration(n)/waitGateways, mostBatchPause)
+	return longest/2 + rand.N(longest/2)
+}
+
 // New returns a Watcher that keeps catalog and servers up to date.
 func New(source Source, catalog *holder.Holder, servers *lister.Lister) *Watcher {
 	return &Watcher{source: source, catalog: catalog, servers: servers}
@@ -79,13 +93,13 @@
 
 // RunCatalog follows the catalog until ctx ends.
 func (w *Watcher) RunCatalog(ctx context.Context) {
-	f := follower{name: "catalog", wait: w.wait, get: w.readCatalog, watch: w.watchCatalog}
+	f := follower{name: "catalog", wait: w.wait, pause: w.pause, get: w.readCatalog, watch: w.watchCatalog}
 	f.run(ctx)
 }
 
 // RunServers follows the backend servers until ctx ends.
 func (w *Watcher) RunServers(ctx context.Context) {
-	f := follower{name: "servers", wait: w.wait, get: w.readServers, watch: w.watchServers}
+	f := follower{name: "servers", wait: w.wait, pause: w.pause, get: w.readServers, watch: w.watchServers}
 	f.run(ctx)
 }
 
@@ -130,8 +144,9 @@
 // follower reads one table whole and then follows its changes.
 type follower struct {
 	name string
-	// wait is how long a call waits.
+	// wait is how long a call waits, pause how long changes gather after one.
 	wait  func() time.Duration
+	pause func() time.Duration
 	get   func(ctx context.Context) (uint64, error)
 	watch func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
 	// away says that the latest call failed.
@@ -153,7 +168,7 @@
 		if err == nil {
 			f.setAway(false, nil)
 			pause = firstPause
-			sleeper.Sleep(ctx, batchPause)
+			sleeper.Sleep(ctx, f.pause())
 			continue
 		}
 		if errors.Is(err, ErrHistoryLost) {
