--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -23,9 +23,12 @@
 const (
 	// period is the pause between two rounds: some four passes.
 	period = 250 * time.Millisecond
+	// samplePause is the pause between two samples of a large group; demand there
+	// changes every two seconds.
+	samplePause = 100 * time.Millisecond
 	// settlePause is the pause after a reading during which demand changed: some
-	// three passes, whose counts are of the new demand only.
-	settlePause = 180 * time.Millisecond
+	// two passes, whose counts are of the new demand only.
+	settlePause = 150 * time.Millisecond
 	// wholePeriod is how often a large group is read whole although nothing pays, to
 	// see its slow ranks and to be heard by all.
 	wholePeriod = 1200 * time.Millisecond
@@ -66,14 +69,14 @@
 	knownVersion uint64
 	demand       *sampler.Demand
 	shape        [2]int
-	// sources are the engines whose counts are read in the rounds of a large group,
-	// as of the whole reading of sourcesEpoch at wholeAt; slowness is that of all
-	// ranks then, and lastStep the latest pass seen.
-	sources      []netip.AddrPort
-	sourcesEpoch uint64
-	wholeAt      time.Time
-	slowness     []float64
-	lastStep     uint64
+	// whole is the latest reading of all ranks, made at wholeAt; sources are the
+	// engines whose counts are read in the rounds of a large group, slowness is that of
+	// all ranks, and lastStep the latest pass seen.
+	whole    commander.Group
+	wholeAt  time.Time
+	sources  []netip.AddrPort
+	slowness []float64
+	lastStep uint64
 	// heldSince and heldStep tell for how long a pass has been held.
 	heldSince time.Time
 	heldStep  uint64
@@ -128,14 +131,21 @@
 	if own.Broken || engine == nil || engine.Layers == 0 || !b.shouldLead(own.Rank, time.Now()) {
 		return period
 	}
+	var g commander.Group
 	if !sampler.IsWhole(own.Size) {
-		if pause, ok := b.sample(ctx, own, engine); ok {
-			return pause
+		switch seen := b.sample(ctx, own, engine).(type) {
+		case nothingToDo:
+			return seen.pause
+		case skewed:
+			g = seen.Group
+		case unclear:
 		}
 	}
-	g, ok := b.read(ctx, own)
-	if !ok {
-		return period
+	if g == nil {
+		var ok bool
+		if g, ok = b.read(ctx, own); !ok {
+			return period
+		}
 	}
 	if g.Held() != nil {
 		return b.handleHeld(ctx, g, own, engine)
@@ -158,32 +168,62 @@
 	return period
 }
 
-// sample reads a part of a large group, and reports whether that is all there is
-// to do in this round.
-func (b *Balancer) sample(ctx context.Context, own *commander.Status, engine *holder.Engine) (time.Duration, bool) {
-	if b.sourcesEpoch != own.Epoch || time.Since(b.wholeAt) > wholePeriod {
-		return 0, false
+// sampled says what a reading of a part of a large group calls for.
+type sampled interface{ sampled() }
+
+// nothingToDo is left for this round.
+type nothingToDo struct{ pause time.Duration }
+
+// skewed groups may be worth a change. The ranks that were not read are as they were
+// in the latest reading of all: only their addresses are used, and what the first
+// rank says now decides between leaders.
+type skewed struct{ commander.Group }
+
+// unclear readings call for one of all ranks.
+type unclear struct{}
+
+func (nothingToDo) sampled() {}
+
+func (skewed) sampled() {}
+
+func (unclear) sampled() {}
+
+// sample reads a part of a large group.
+func (b *Balancer) sample(ctx context.Context, own *commander.Status, engine *holder.Engine) sampled {
+	if len(b.whole) != own.Size || b.whole.Epoch() != own.Epoch || b.placement == nil || time.Since(b.wholeAt) > wholePeriod {
+		return unclear{}
+	}
+	g := make(commander.Group, len(b.whole))
+	for rank, s := range b.whole {
+		// All ranks change maps at one pass, so those that are not read now have the map
+		// of those that are.
+		unread := *s
+		unread.Version = b.knownVersion
+		g[rank] = &unread
 	}
 	q := commander.Query{LeaderRank: own.Rank, WithCounts: true, KnownVersion: b.knownVersion}
-	seen := make([]*commander.Status, 0, len(b.sources))
-	step := uint64(0)
-	for _, s := range b.commander.ReadAll(ctx, b.sources, q) {
+	seen := b.commander.ReadAll(ctx, b.sources, q)
+	for _, s := range seen {
 		if s == nil || s.Epoch != own.Epoch || s.Broken || s.Held != nil || s.Armed != nil || s.Version != b.knownVersion {
-			// Only the whole group can tell what to do.
-			return 0, false
+			return unclear{}
 		}
-		seen = append(seen, s)
-		step = max(step, s.Step)
+		g[s.Rank] = s
 	}
+	step := g.Step()
 	stands := step == b.lastStep && own.Running > 0
 	b.lastStep = step
 	switch {
+	case stands:
+		// Somebody may hold a pass.
+		return unclear{}
 	case !b.observe(seen, engine):
-		return period, !stands
+		return nothingToDo{pause: samplePause}
 	case b.demand.IsMixed():
-		return settlePause, true
+		return nothingToDo{pause: settlePause}
+	case !b.isSkewed(engine):
+		return nothingToDo{pause: samplePause}
 	}
-	return period, !stands && !b.isSkewed(engine)
+	return skewed{Group: g}
 }
 
 // read reads all ranks of the own group.
@@ -209,7 +249,7 @@
 
 // noteWhole learns from a reading of all ranks which of them to sample.
 func (b *Balancer) noteWhole(g commander.Group) {
-	b.sources, b.sourcesEpoch, b.wholeAt = b.sources[:0], g.Epoch(), time.Now()
+	b.sources, b.whole, b.wholeAt = b.sources[:0], g, time.Now()
 	b.slowness = make([]float64, len(g))
 	for rank, s := range g {
 		b.slowness[rank] = s.Slowness
--- a/internal/group/commander/change.go
+++ b/internal/group/commander/change.go
@@ -45,49 +45,84 @@
 	if err := c.prepareFirst(ctx, g, order); err != nil {
 		return err
 	}
-	sent := make([]bool, len(g))
-	sent[0] = true
+	ranks := newCopies(g)
+	ranks[0].sent = true
 	if !pending {
-		c.sendAll(ctx, g, sent, Directive{Order: order, Epoch: g.Epoch()})
+		c.sendAll(ctx, g, ranks, Directive{Order: order, Epoch: g.Epoch()})
 	}
 	for {
-		all := c.readAll(ctx, g, Query{LeaderRank: first.Rank})
-		ready, err := checkPrepared(g, all, sent, order)
-		if err != nil || ready {
+		if sleeper.Sleep(ctx, preparePoll); ctx.Err() != nil {
+			return wrapper.At("prepare", "", errPreparing)
+		}
+		if err := c.confirm(ctx, g, ranks, order); err != nil {
 			return err
 		}
-		if !pending || all[0] != nil && all[0].Prepared != nil && *all[0].Prepared == order.Version {
-			c.sendAll(ctx, g, sent, Directive{Order: order, Epoch: g.Epoch()})
+		if ranks.areReady() {
+			return nil
 		}
-		if sleeper.Sleep(ctx, preparePoll); ctx.Err() != nil {
-			return wrapper.At("prepare", "", errPreparing)
+		if !pending || ranks[0].ready {
+			c.sendAll(ctx, g, ranks, Directive{Order: order, Epoch: g.Epoch()})
 		}
 	}
 }
 
-// checkPrepared reports whether all ranks have prepared a map. A rank that has
-// neither it nor a copy in progress is to be sent the order again.
-func checkPrepared(g Group, all []*Status, sent []bool, order Prepare) (bool, error) {
-	ready := true
-	for i, s := range all {
-		switch {
-		case s == nil:
-			ready = false
-		case s.Epoch != g.Epoch() || s.Broken:
-			return false, wrapper.At("prepare", s.Addr.String(), errOtherEpoch)
-		case s.Prepared != nil && *s.Prepared > order.Version:
-			return false, wrapper.At("prepare", s.Addr.String(), errOtherMap)
-		case s.Prepared != nil && *s.Prepared == order.Version:
-			// A rank read from afar does not tell its experts.
-			if s.PreparedDigest != 0 && s.PreparedDigest != Digest(order.Placement, i) {
-				return false, wrapper.At("check_prepared", s.Addr.String(), errOtherMap)
-			}
-		default:
-			ready = false
-			sent[i] = sent[i] && s.Busy
+// copies says how far each rank is with a map.
+type copies []struct {
+	// sent says that the rank has taken the order and has not been seen to lack it.
+	sent bool
+	// ready says that the rank was seen to have prepared the map. Only another leader's
+	// newer map can change that, and then the first rank can't be armed (rule 3).
+	ready bool
+}
+
+func newCopies(g Group) copies { return make(copies, len(g)) }
+
+func (x copies) areReady() bool {
+	for _, r := range x {
+		if !r.ready {
+			return false
+		}
+	}
+	return true
+}
+
+// confirm looks at the ranks that are not known to be ready.
+func (c *Commander) confirm(ctx context.Context, g Group, ranks copies, order Prepare) error {
+	var left Group
+	for i, s := range g {
+		if !ranks[i].ready {
+			left = append(left, s)
+		}
+	}
+	for i, s := range c.readAll(ctx, left, Query{LeaderRank: g.First().Rank}) {
+		ready, lacks, err := checkPrepared(g, left[i].Rank, s, order)
+		if err != nil {
+			return err
+		}
+		r := &ranks[left[i].Rank]
+		r.ready, r.sent = ready, r.sent && !lacks
+	}
+	return nil
+}
+
+// checkPrepared reports whether a rank has prepared a map, and whether it lacks it:
+// a rank that has neither it nor a copy in progress is to be sent the order again.
+func checkPrepared(g Group, rank int, s *Status, order Prepare) (ready, lacks bool, err error) {
+	switch {
+	case s == nil:
+		return false, false, nil
+	case s.Epoch != g.Epoch() || s.Broken:
+		return false, false, wrapper.At("prepare", s.Addr.String(), errOtherEpoch)
+	case s.Prepared != nil && *s.Prepared > order.Version:
+		return false, false, wrapper.At("prepare", s.Addr.String(), errOtherMap)
+	case s.Prepared != nil && *s.Prepared == order.Version:
+		// A rank read from afar does not tell its experts.
+		if s.PreparedDigest != 0 && s.PreparedDigest != Digest(order.Placement, rank) {
+			return false, false, wrapper.At("check_prepared", s.Addr.String(), errOtherMap)
 		}
+		return true, false, nil
 	}
-	return ready, nil
+	return false, !s.Busy, nil
 }
 
 // prepareFirst begins to prepare a map at the first rank, unless another leader
@@ -117,13 +152,13 @@
 }
 
 // sendAll sends an order to the ranks that have not taken it yet.
-func (c *Commander) sendAll(ctx context.Context, g Group, sent []bool, d Directive) {
+func (c *Commander) sendAll(ctx context.Context, g Group, ranks copies, d Directive) {
 	var wg sync.WaitGroup
 	for i, s := range g {
-		if sent[i] {
+		if ranks[i].sent || ranks[i].ready {
 			continue
 		}
-		wg.Go(func() { sent[i] = c.send(ctx, s, d) == nil })
+		wg.Go(func() { ranks[i].sent = c.send(ctx, s, d) == nil })
 	}
 	wg.Wait()
 }
--- a/internal/group/shifter/state.go
+++ b/internal/group/shifter/state.go
@@ -169,7 +169,11 @@
 		out[r] = r
 	}
 	sort.Slice(out, func(i, j int) bool { return s.load[out[i]] < s.load[out[j]] })
-	return out[:min(len(out), maxTargets)]
+	targets := maxTargets
+	if len(out) > largeGroup {
+		targets = largeTargets
+	}
+	return out[:min(len(out), targets)]
 }
 
 func (s *state) mayAdd(r, e int) bool { return s.had[r][e] || s.added[r] < s.Spare }
