Fourteen ranks may take load in large groups, too

Its bound was a guess, and six targets are worse than one plan shows: over twenty changes of demand mean skew 1.439 (worst 1.555), with 8 1.381, 10 1.392, 14 1.355 (1.421), 20 1.36.

--- a/internal/group/shifter/shifter.go
+++ b/internal/group/shifter/shifter.go
@@ -56,11 +56,10 @@
 	// maxSteps bounds the steps for one set, maxVain those without a better end.
 	maxSteps = 120
 	maxVain  = 12
-	// maxTargets bounds the ranks that may take load in one step; in a group of more
-	// than largeGroup ranks fewer lead to the same balance in half the time.
-	maxTargets   = 14
-	largeTargets = 6
-	largeGroup   = 16
+	// maxTargets bounds the ranks that may take load in one step. Over twenty changes
+	// of demand in a group of 63 the mean skew behind a plan was 1.44 with 6, 1.39 with
+	// 10, 1.36 with 14 and with 20.
+	maxTargets = 14
 	// minGain is the relative lowering of the cost below which a step is none.
 	minGain = 0.0005
 	// copyPrice is the skew that one copy must save, times the ranks that gain by it:
--- a/internal/group/shifter/state.go
+++ b/internal/group/shifter/state.go
@@ -169,11 +169,7 @@
 		out[r] = r
 	}
 	sort.Slice(out, func(i, j int) bool { return s.load[out[i]] < s.load[out[j]] })
-	targets := maxTargets
-	if len(out) > largeGroup {
-		targets = largeTargets
-	}
-	return out[:min(len(out), targets)]
+	return out[:min(len(out), maxTargets)]
 }
 
 func (s *state) mayAdd(r, e int) bool { return s.had[r][e] || s.added[r] < s.Spare }
