Changes of maps as small as they are; old demand taken out of a mixed reading

A reading across a change of demand cost 0.25 s more to settle. Change: dropped and added experts only, as varints, deflated, encoded once for all ranks (under 1.5 KB for 200 copies, TestChangesOfALargeMapAreSmall); what cannot be read is asked for whole. A mixed reading with at least 0.35 of the new demand has the old part taken out, told by the three hottest experts of before, and is planned for at once. Failed on the way: the first unmixing took experts that cool down for gone and shifted a pure reading by a tenth (TestDemandFollowsAChangeOfTaste); the first encoder returned its bytes before it was closed (TestUnknownBaseIsRefused).

--- a/internal/group/commander/change.go
+++ b/internal/group/commander/change.go
@@ -19,9 +19,11 @@
 // the pass is released, or with an error when the change was not made or has to
 // be finished by Recover.
 func (c *Commander) Change(ctx context.Context, g Group, own *Status, order Prepare) error {
+	start := time.Now()
 	if err := c.prepare(ctx, g, order); err != nil {
 		return err
 	}
+	log.Info("map prepared", "event", "map_prepared", "version", order.Version, "epoch", g.Epoch(), "ranks", len(g), "took", time.Since(start))
 	if c.lost.Swap(false) {
 		c.ahead = max(c.ahead, lossAhead)
 	} else {
--- a/internal/group/messenger/codec.go
+++ b/internal/group/messenger/codec.go
@@ -100,7 +100,7 @@
 	return out
 }
 
-func encodeOrder(d commander.Directive) *encoder.EngineOrder {
+func encodeOrder(d commander.Directive) (*encoder.EngineOrder, error) {
 	out := &encoder.EngineOrder{Epoch: d.Epoch}
 	if d.Sequence != nil {
 		out.HasSequence, out.Sequence = true, *d.Sequence
@@ -108,8 +108,12 @@
 	switch o := d.Order.(type) {
 	case commander.Prepare:
 		out.Operation, out.Version = operationPrepare, o.Version
-		if o.Base != nil {
-			out.BaseVersion, out.Changes, out.Digest = o.BaseVersion, diff(o.Base, o.Placement), digest(o.Placement)
+		if isLike(o.Base, o.Placement) {
+			changes, err := diff(o.Base, o.Placement)
+			if err != nil {
+				return nil, wrapper.At("encode_order", "", err)
+			}
+			out.BaseVersion, out.Changes, out.Digest = o.BaseVersion, changes, digest(o.Placement)
 			break
 		}
 		for _, ranks := range o.Placement {
@@ -124,7 +128,7 @@
 	case commander.Release:
 		out.Operation, out.Step = operationRelease, o.Step
 	}
-	return out
+	return out, nil
 }
 
 // decodeOrder puts a map together from what is known. It returns errNeedsWhole.
--- a/internal/group/messenger/messenger.go
+++ b/internal/group/messenger/messenger.go
@@ -38,6 +38,8 @@
 	mu        sync.Mutex
 	// far holds such clients by address.
 	far map[netip.AddrPort]Engine
+	// latest is the latest map told by its changes.
+	latest *encoder.EngineOrder
 	// known holds the maps that this sidecar was sent.
 	known *placements
 }
@@ -132,11 +134,33 @@
 
 // order gives an order to the sidecar of an engine.
 func (m *Messenger) order(ctx context.Context, engine netip.AddrPort, d commander.Directive) (*encoder.EngineResult, error) {
+	body, err := m.encode(d)
+	if err != nil {
+		return nil, err
+	}
 	result := &encoder.EngineResult{}
-	open := &encoder.Open{Kind: &encoder.Open_EngineOrder{EngineOrder: encodeOrder(d)}}
+	open := &encoder.Open{Kind: &encoder.Open_EngineOrder{EngineOrder: body}}
 	return result, m.pool.Call(ctx, m.sidecar(engine), open, result)
 }
 
+// encode encodes an order; all ranks are sent the same map, which is encoded once.
+func (m *Messenger) encode(d commander.Directive) (*encoder.EngineOrder, error) {
+	p, ok := d.Order.(commander.Prepare)
+	if !ok || p.Base == nil || d.Sequence != nil {
+		return encodeOrder(d)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.latest.GetVersion() == p.Version && m.latest.GetEpoch() == d.Epoch {
+		return m.latest, nil
+	}
+	body, err := encodeOrder(d)
+	if err == nil {
+		m.latest = body
+	}
+	return body, err
+}
+
 // Serve answers a query or an order of another sidecar on this instance's engine.
 func (m *Messenger) Serve(ctx context.Context, open *encoder.Open, s *connector.Stream) error {
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
--- a/internal/group/sampler/sampler.go
+++ b/internal/group/sampler/sampler.go
@@ -2,8 +2,6 @@
 // passes to come.
 package sampler
 
-import "math"
-
 // Demand estimates the demand of each expert. It is used by one goroutine.
 type Demand struct {
 	sets, experts int
@@ -83,7 +81,7 @@
 	}
 	if d.level == nil || d.hasChanged(fresh) {
 		// Of two changes in a row the second is the end of the first.
-		d.mixed = d.level != nil && !d.mixed
+		d.mixed = d.level != nil && !d.mixed && !d.separate(fresh)
 		d.level, d.weight = fresh, 1
 		return true
 	}
@@ -102,9 +100,7 @@
 func (d *Demand) hasChanged(fresh [][]float64) bool {
 	moved := 0.0
 	for s := range fresh {
-		for e, v := range fresh[s] {
-			moved += math.Abs(v-d.level[s][e]) / 2
-		}
+		moved += distance(fresh[s], d.level[s])
 	}
 	return moved/float64(d.sets) > sudden
 }
