Pauses after a failed call to the store grow with the fleet

Change: from 12 gateways on the longest pause between two tries grows up to 1.5 s; any gateway that notices the store's return passes on what is new. Test: pauses by the size of the fleet.

--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -54,9 +54,11 @@
 	mostBatchPause = 800 * time.Millisecond
 	// firstPause and mostPause bound the pause after a failure. The longest keeps
 	// the return of the store unnoticed for less than half of the time in which
-	// a change has to be in force.
+	// a change has to be in force. In a large fleet it grows up to fleetPause: some
+	// gateway is sure to notice sooner, and passes on what is new.
 	firstPause = 100 * time.Millisecond
 	mostPause  = 700 * time.Millisecond
+	fleetPause = 1500 * time.Millisecond
 )
 
 // Watcher follows the store. Run is for one goroutine.
@@ -86,6 +88,11 @@
 	return longest/2 + rand.N(longest/2)
 }
 
+// longestPause bounds the pause after a failure.
+func (w *Watcher) longestPause() time.Duration {
+	return min(max(mostPause*time.Duration(w.gateways.Load())/waitGateways, mostPause), fleetPause)
+}
+
 // New returns a Watcher that keeps catalog and servers up to date.
 func New(source Source, catalog *holder.Holder, servers *lister.Lister) *Watcher {
 	return &Watcher{source: source, catalog: catalog, servers: servers}
@@ -93,13 +100,13 @@
 
 // RunCatalog follows the catalog until ctx ends.
 func (w *Watcher) RunCatalog(ctx context.Context) {
-	f := follower{name: "catalog", wait: w.wait, pause: w.pause, get: w.readCatalog, watch: w.watchCatalog}
+	f := follower{name: "catalog", wait: w.wait, pause: w.pause, longest: w.longestPause, get: w.readCatalog, watch: w.watchCatalog}
 	f.run(ctx)
 }
 
 // RunServers follows the backend servers until ctx ends.
 func (w *Watcher) RunServers(ctx context.Context) {
-	f := follower{name: "servers", wait: w.wait, pause: w.pause, get: w.readServers, watch: w.watchServers}
+	f := follower{name: "servers", wait: w.wait, pause: w.pause, longest: w.longestPause, get: w.readServers, watch: w.watchServers}
 	f.run(ctx)
 }
 
@@ -147,8 +154,10 @@
 	// wait is how long a call waits, pause how long changes gather after one.
 	wait  func() time.Duration
 	pause func() time.Duration
-	get   func(ctx context.Context) (uint64, error)
-	watch func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
+	// longest bounds the pause after a failure.
+	longest func() time.Duration
+	get     func(ctx context.Context) (uint64, error)
+	watch   func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
 	// away says that the latest call failed.
 	away bool
 	// known says that the table was read whole as of after, the revision to go on
@@ -178,7 +187,7 @@
 		}
 		f.setAway(true, err)
 		sleeper.Sleep(ctx, time.Duration(float64(pause)*(0.5+rand.Float64()/2)))
-		pause = min(2*pause, mostPause)
+		pause = min(2*pause, f.longest())
 	}
 }
 
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -84,4 +84,7 @@
 		}
 	}
 	c.Assert(w.pause() >= mostBatchPause/2, qt.IsTrue)
+	c.Assert(w.longestPause(), qt.Equals, fleetPause)
+	w.SetGateways(9)
+	c.Assert(w.longestPause(), qt.Equals, mostPause)
 }
--- a/internal/report/summarizer/render.go
+++ b/internal/report/summarizer/render.go
@@ -76,16 +76,16 @@
 	return s.line(len(s.Seconds), func(i int) (time.Time, float64) { return s.Seconds[i].Time, float64(count(s.Seconds[i])) })
 }
 
-// Answered, Refused and Failed are the points of the plots by second.
+// Answered returns the points of a plot by second.
 func (s *Summary) Answered() string { return s.ends(func(x Second) int { return x.Answered }) }
 
-// Refused is like Answered.
+// Refused returns the points of a plot by second.
 func (s *Summary) Refused() string { return s.ends(func(x Second) int { return x.Refused }) }
 
-// Failed is like Answered.
+// Failed returns the points of a plot by second.
 func (s *Summary) Failed() string { return s.ends(func(x Second) int { return x.Failed }) }
 
-// Skew is the points of the plot of skew: each change lowers it at once.
+// Skew returns the points of the plot of skew: each change lowers it at once.
 func (s *Summary) Skew() string {
 	return s.line(2*len(s.Changes), func(i int) (time.Time, float64) {
 		c := s.Changes[i/2]
