--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -107,9 +107,9 @@
 }
 
 // shouldLead reports whether no lower rank has been heard of for long enough.
-func (b *Balancer) shouldLead(rank int, now time.Time) bool {
+func (b *Balancer) shouldLead(rank, size int, now time.Time) bool {
 	quiet := now.Sub(time.Unix(0, b.lower.Load()))
-	lead := rank == 0 || quiet > silence+time.Duration(rank)*silenceStep
+	lead := rank == 0 || quiet > patience(rank, size)
 	if lead != b.leading {
 		log.Info("leadership changed", "event", "leader", "leads", lead, "rank", rank, "quiet", quiet)
 		b.leading = lead
@@ -118,6 +118,16 @@
 	return lead
 }
 
+// patience is how long the lower ranks must be silent before a rank leads. One that
+// is not sampled hears of its leader only when all are read.
+func patience(rank, size int) time.Duration {
+	p := silence + time.Duration(rank)*silenceStep
+	if !sampler.IsSource(rank, size) {
+		p += wholePeriod
+	}
+	return p
+}
+
 // round reads the group and changes its map if that pays. It returns the pause
 // until the next round.
 func (b *Balancer) round(ctx context.Context) time.Duration {
@@ -128,7 +138,7 @@
 	}
 	b.rank.Store(int64(own.Rank))
 	engine := b.engine()
-	if own.Broken || engine == nil || engine.Layers == 0 || !b.shouldLead(own.Rank, time.Now()) {
+	if own.Broken || engine == nil || engine.Layers == 0 || !b.shouldLead(own.Rank, own.Size, time.Now()) {
 		return period
 	}
 	var g commander.Group
@@ -197,8 +207,9 @@
 	for rank, s := range b.whole {
 		// All ranks change maps at one pass, so those that are not read now have the map
 		// of those that are.
+		// What they held or were armed with then is no news now.
 		unread := *s
-		unread.Version = b.knownVersion
+		unread.Version, unread.Held, unread.Armed = b.knownVersion, nil, nil
 		g[rank] = &unread
 	}
 	q := commander.Query{LeaderRank: own.Rank, WithCounts: true, KnownVersion: b.knownVersion}
