State that can be derived, logic that stood twice, a name that reads like an unfinished mark

Cause: read as a stranger. Ruled out: joining the constants that duplicates lists beside each other (gossiper and watcher, balancer and commander, two JSON types): same shape, other things.

--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -100,13 +100,13 @@
 
 // RunCatalog follows the catalog until ctx ends.
 func (w *Watcher) RunCatalog(ctx context.Context) {
-	f := follower{name: "catalog", wait: w.wait, pause: w.pause, longest: w.longestPause, get: w.readCatalog, watch: w.watchCatalog}
+	f := follower{Watcher: w, name: "catalog", get: w.readCatalog, watch: w.watchCatalog}
 	f.run(ctx)
 }
 
 // RunServers follows the backend servers until ctx ends.
 func (w *Watcher) RunServers(ctx context.Context) {
-	f := follower{name: "servers", wait: w.wait, pause: w.pause, longest: w.longestPause, get: w.readServers, watch: w.watchServers}
+	f := follower{Watcher: w, name: "servers", get: w.readServers, watch: w.watchServers}
 	f.run(ctx)
 }
 
@@ -150,14 +150,11 @@
 
 // follower reads one table whole and then follows its changes.
 type follower struct {
-	name string
-	// wait is how long a call waits, pause how long changes gather after one.
-	wait  func() time.Duration
-	pause func() time.Duration
-	// longest bounds the pause after a failure.
-	longest func() time.Duration
-	get     func(ctx context.Context) (uint64, error)
-	watch   func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
+	// Watcher says how long to wait and to pause.
+	*Watcher
+	name  string
+	get   func(ctx context.Context) (uint64, error)
+	watch func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
 	// away says that the latest call failed.
 	away bool
 	// known says that the table was read whole as of after, the revision to go on
@@ -187,7 +184,7 @@
 		}
 		f.setAway(true, err)
 		sleeper.Sleep(ctx, time.Duration(float64(pause)*(0.5+rand.Float64()/2)))
-		pause = min(2*pause, f.longest())
+		pause = min(2*pause, f.longestPause())
 	}
 }
 
--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -69,13 +69,10 @@
 	knownVersion uint64
 	demand       *sampler.Demand
 	shape        [2]int
-	// whole is the latest reading of all ranks, made at wholeAt; sources are the
-	// engines whose counts are read in the rounds of a large group, slowness is that of
-	// all ranks, and lastStep the latest pass seen.
+	// whole is the latest reading of all ranks, made at wholeAt, and lastStep the
+	// latest pass seen in a sample.
 	whole    commander.Group
 	wholeAt  time.Time
-	sources  []netip.AddrPort
-	slowness []float64
 	lastStep uint64
 	// heldSince and heldStep tell for how long a pass has been held.
 	heldSince time.Time
@@ -144,7 +141,7 @@
 	var g commander.Group
 	if !sampler.IsWhole(own.Size) {
 		switch seen := b.sample(ctx, own, engine).(type) {
-		case nothingToDo:
+		case balanced:
 			return seen.pause
 		case skewed:
 			g = seen.Group
@@ -181,8 +178,8 @@
 // sampled says what a reading of a part of a large group calls for.
 type sampled interface{ sampled() }
 
-// nothingToDo is left for this round.
-type nothingToDo struct{ pause time.Duration }
+// balanced groups, and those whose demand is not clear yet, are read again after a pause.
+type balanced struct{ pause time.Duration }
 
 // skewed groups may be worth a change. The ranks that were not read are as they were
 // in the latest reading of all: only their addresses are used, and what the first
@@ -192,7 +189,7 @@
 // unclear readings call for one of all ranks.
 type unclear struct{}
 
-func (nothingToDo) sampled() {}
+func (balanced) sampled() {}
 
 func (skewed) sampled() {}
 
@@ -213,7 +210,7 @@
 		g[rank] = &unread
 	}
 	q := commander.Query{LeaderRank: own.Rank, WithCounts: true, KnownVersion: b.knownVersion}
-	seen := b.commander.ReadAll(ctx, b.sources, q)
+	seen := b.commander.ReadAll(ctx, b.sources(), q)
 	for _, s := range seen {
 		if s == nil || s.Epoch != own.Epoch || s.Broken || s.Held != nil || s.Armed != nil || s.Version != b.knownVersion {
 			return unclear{}
@@ -228,11 +225,11 @@
 		// Somebody may hold a pass.
 		return unclear{}
 	case !b.observe(seen, engine):
-		return nothingToDo{pause: samplePause}
+		return balanced{pause: samplePause}
 	case b.demand.IsMixed():
-		return nothingToDo{pause: settlePause}
+		return balanced{pause: settlePause}
 	case !b.isSkewed(engine):
-		return nothingToDo{pause: samplePause}
+		return balanced{pause: samplePause}
 	}
 	return skewed{Group: g}
 }
@@ -254,25 +251,28 @@
 		log.Info("group not read whole", "event", "group_partial", "group", own.Group, "read", len(mine), "size", own.Size, "error", err)
 		return nil, false
 	}
-	b.noteWhole(g)
+	b.whole, b.wholeAt = g, time.Now()
 	return g, true
 }
 
-// noteWhole learns from a reading of all ranks which of them to sample.
-func (b *Balancer) noteWhole(g commander.Group) {
-	b.sources, b.whole, b.wholeAt = b.sources[:0], g, time.Now()
-	b.slowness = make([]float64, len(g))
-	for rank, s := range g {
-		b.slowness[rank] = s.Slowness
-		if sampler.IsSource(rank, len(g)) {
-			b.sources = append(b.sources, s.Addr)
+// sources are the engines whose counts are read in the rounds of a large group.
+func (b *Balancer) sources() []netip.AddrPort {
+	var out []netip.AddrPort
+	for rank, s := range b.whole {
+		if sampler.IsSource(rank, len(b.whole)) {
+			out = append(out, s.Addr)
 		}
 	}
+	return out
 }
 
 // bounds are those of the next plan.
 func (b *Balancer) bounds(engine *holder.Engine) shifter.Bounds {
-	return shifter.Bounds{Places: engine.SlotsPerRank, Spare: engine.Spare, Slowness: b.slowness}
+	slowness := make([]float64, 0, len(b.whole))
+	for _, s := range b.whole {
+		slowness = append(slowness, s.Slowness)
+	}
+	return shifter.Bounds{Places: engine.SlotsPerRank, Spare: engine.Spare, Slowness: slowness}
 }
 
 // isSkewed reports whether a plan might pay: none lowers the skew below 1, and
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -95,9 +95,13 @@
 	return SetLog(cfg)
 }
 
-// limitMemory sets the collector's limit for a process that may use some megabytes.
-func limitMemory(megabytes int) {
+// begin returns the context of a process that may use some megabytes; its sessions end
+// with it.
+func begin(stop Stop, peers *connector.Pool, megabytes int) (context.Context, context.CancelFunc) {
 	debug.SetMemoryLimit(int64(float64(megabytes<<20) * memoryFraction))
+	ctx, cancel := context.WithCancel(stop.Forced)
+	context.AfterFunc(ctx, peers.Close)
+	return ctx, cancel
 }
 
 // goAll runs work in the background until ctx ends.
@@ -109,10 +113,8 @@
 
 // Run serves until stop.
 func (g *Gateway) Run(stop Stop) error {
-	ctx, cancel := context.WithCancel(stop.Forced)
+	ctx, cancel := begin(stop, g.peers, g.cfg.Gateway.Memory)
 	defer cancel()
-	context.AfterFunc(ctx, g.peers.Close)
-	limitMemory(g.cfg.Gateway.Memory)
 	var ls listeners
 	callers, err := ls.bind(g.cfg.Listen.Callers)
 	if err != nil {
--- a/internal/process/launcher/sidecar.go
+++ b/internal/process/launcher/sidecar.go
@@ -51,10 +51,8 @@
 
 // Run serves until stop.
 func (s *Sidecar) Run(stop Stop) error {
-	ctx, cancel := context.WithCancel(stop.Forced)
+	ctx, cancel := begin(stop, s.pool, s.cfg.Sidecar.Memory)
 	defer cancel()
-	context.AfterFunc(ctx, s.pool.Close)
-	limitMemory(s.cfg.Sidecar.Memory)
 	var ls listeners
 	peers, err := ls.bind(s.cfg.Listen.Peers)
 	if err != nil {
