Every promise asserted at the gateways, each assertion with a test that fails without it

Cause: asked of each promise which line asserts it. At the gateways a whole answer and a graceful shutdown were kept but not asserted, and for the others only guard and assertion together had been taken out. Change: checkWhole and passEvent (RuleWholeAnswer), drain (RuleDrained, in-flight requests counted), checkOwn; handlers of signals are installed before the settings are read. An abort for a broken invariant is logged as such and not as a caller who left. A first form of the test for work handed over again hung without the assertion instead of failing; it fails at once now.

--- a/cmd/siskinfall/platform.go
+++ b/cmd/siskinfall/platform.go
@@ -12,6 +12,8 @@
 type gatewayCmd struct{ fileArg }
 
 func (c *gatewayCmd) run() error {
+	// Before all else: a process may be asked to stop as soon as it runs.
+	stop := launcher.NewSignalStop()
 	cfg, err := loader.Load(c.File)
 	if err != nil {
 		return err
@@ -20,12 +22,13 @@
 		return err
 	}
 	store := platform.NewStore(cfg.Platform.Address)
-	return launcher.NewGateway(cfg, store, platform.Headers{}).Run(launcher.NewSignalStop())
+	return launcher.NewGateway(cfg, store, platform.Headers{}).Run(stop)
 }
 
 type sidecarCmd struct{ fileArg }
 
 func (c *sidecarCmd) run() error {
+	stop := launcher.NewSignalStop()
 	cfg, err := loader.Load(c.File)
 	if err != nil {
 		return err
@@ -34,5 +37,5 @@
 		return err
 	}
 	newEngine := func(addr netip.AddrPort) messenger.Engine { return platform.NewEngine(addr) }
-	return launcher.NewSidecar(cfg, newEngine).Run(launcher.NewSignalStop())
+	return launcher.NewSidecar(cfg, newEngine).Run(stop)
 }
--- a/cmd/siskinfall/process.go
+++ b/cmd/siskinfall/process.go
@@ -21,19 +21,21 @@
 type entryCmd struct{ fileArg }
 
 func (c *entryCmd) run() error {
+	stop := launcher.NewSignalStop()
 	cfg, err := c.load()
 	if err != nil {
 		return err
 	}
-	return launcher.RunEntry(launcher.NewSignalStop(), cfg)
+	return launcher.RunEntry(stop, cfg)
 }
 
 type agentCmd struct{ fileArg }
 
 func (c *agentCmd) run() error {
+	stop := launcher.NewSignalStop()
 	cfg, err := c.load()
 	if err != nil {
 		return err
 	}
-	return launcher.RunAgent(launcher.NewSignalStop(), cfg)
+	return launcher.RunAgent(stop, cfg)
 }
--- a/internal/catalog/holder/holder_test.go
+++ b/internal/catalog/holder/holder_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"siskinfall/internal/check/asserter"
 )
 
 func catalog(version uint64) *Catalog {
@@ -49,3 +51,15 @@
 	h.Confirm(now)
 	c.Assert(h.GetAge(now.Add(time.Second)), qt.Equals, time.Second)
 }
+
+// TestOlderCatalogThanTheHighestIsAViolation makes the current catalog forgotten, which
+// no code does; the highest version must hold all the same.
+func TestOlderCatalogThanTheHighestIsAViolation(t *testing.T) {
+	c := qt.New(t)
+	h := New()
+	c.Assert(h.Offer(&Catalog{Version: 9}, "test"), qt.IsTrue)
+	h.current.Store(nil)
+	before := asserter.Violations()
+	c.Assert(h.Offer(&Catalog{Version: 8}, "test"), qt.IsFalse)
+	c.Assert(asserter.Violations(), qt.Equals, before+1)
+}
--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/gateway/placer"
 )
 
@@ -34,11 +35,14 @@
 		return again{sent: true, fail: failure{status: a.resp.StatusCode, held: &heldAnswer{resp: a.resp, body: held.Bytes()}}}
 	}
 	x.writeHead(a.resp, whole, held.Len())
-	if _, werr := x.w.Write(held.Bytes()); werr != nil || whole {
-		return x.finishAnswer(p, a, whole, werr)
-	}
-	_, err = io.Copy(x.w, a.resp.Body)
-	return x.finishAnswer(p, a, err == nil, err)
+	n, err := x.w.Write(held.Bytes())
+	passed := int64(n)
+	if err == nil && !whole {
+		var rest int64
+		rest, err = io.Copy(x.w, a.resp.Body)
+		passed += rest
+	}
+	return x.finishAnswer(p, a, passed, err)
 }
 
 // isWorthAnother reports whether a failure of a backend server should be tried
@@ -57,10 +61,20 @@
 	}
 }
 
-// finishAnswer ends an answer; one that broke off must not look complete.
-func (x *exchange) finishAnswer(p *placer.Placed, a *answered, whole bool, err error) next {
-	a.release(whole, x.pool)
-	if err != nil || !whole {
+// checkWhole asserts that all of an answer was passed on, as far as it told its length.
+func (x *exchange) checkWhole(resp *http.Response, passed int64) error {
+	whole := x.r.Method == http.MethodHead || resp.ContentLength < 0 || resp.ContentLength == passed
+	return asserter.Holds(whole, asserter.RuleWholeAnswer, "request %s: %d of %d bytes", x.ID, passed, resp.ContentLength)
+}
+
+// finishAnswer ends an answer of which some bytes were passed on; one that broke off
+// must not look complete.
+func (x *exchange) finishAnswer(p *placer.Placed, a *answered, passed int64, err error) next {
+	if err == nil {
+		err = x.checkWhole(a.resp, passed)
+	}
+	a.release(err == nil, x.pool)
+	if err != nil {
 		p.Finish(placer.Cancelled, time.Now())
 		x.logEnd(a.resp.StatusCode, "answer broke off", 0)
 		panic(http.ErrAbortHandler)
@@ -130,7 +144,11 @@
 		if err := x.passEvent(a.resp, event, id); err != nil {
 			a.release(false, x.pool)
 			p.Finish(placer.Cancelled, time.Now())
-			x.logEnd(http.StatusOK, "caller left", 0)
+			reason := "caller left"
+			if asserter.IsViolation(err) {
+				reason = "answer broke off: " + err.Error()
+			}
+			x.logEnd(http.StatusOK, reason, 0)
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -139,7 +157,12 @@
 // eventBuffer is the size of the buffer for events, in bytes.
 const eventBuffer = 1 << 10
 
+// passEvent passes on one event. Within one answer, also one that was resumed, no event
+// comes twice.
 func (x *exchange) passEvent(resp *http.Response, event []byte, id int) error {
+	if err := asserter.Holds(id == 0 || id > x.lastEvent, asserter.RuleWholeAnswer, "request %s: event %d after %d", x.ID, id, x.lastEvent); err != nil {
+		return err
+	}
 	if !x.passed {
 		x.passed = true
 		resp.ContentLength = -1
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -120,14 +120,20 @@
 		return &unknown{err: wrapper.At("read_answer", p.ID, err)}
 	}
 	a.stop = stop
-	own := a.RequestID == x.ID || a.NotRun
-	if err := asserter.Holds(own, asserter.RuleOwnAnswer, "answer to %s for %s", a.RequestID, x.ID); err != nil {
+	if err := x.checkOwn(a); err != nil {
 		a.release(false, x.pool)
 		return &unknown{err: wrapper.At("check_answer", p.ID, err)}
 	}
 	return x.judge(a, p)
 }
 
+// checkOwn asserts that an answer is to this request. What has not run may be told
+// without its id.
+func (x *exchange) checkOwn(a *answered) error {
+	own := a.RequestID == x.ID || a.NotRun
+	return asserter.Holds(own, asserter.RuleOwnAnswer, "answer to %s for %s", a.RequestID, x.ID)
+}
+
 // judge sorts an answer out by what it promises.
 func (x *exchange) judge(a *answered, p *placer.Placed) outcome {
 	a.conn.SetKeepAlive(a.KeepAlive)
--- /dev/null
+++ b/internal/gateway/forwarder/invariant_test.go
@@ -0,0 +1,124 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinfall/internal/backend/dialer"
+	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/check/asserter"
+	"siskinfall/internal/fleet/lister"
+	"siskinfall/internal/gateway/placer"
+)
+
+// Each test here brings about a state that the code before an assertion never makes,
+// so that it fails when the assertion is taken out.
+
+type plainCodec struct{}
+
+func (plainCodec) DecodeRequest(http.Header) Request                { return Request{} }
+func (plainCodec) EncodeRequest(http.Header, Outbound)              {}
+func (plainCodec) DecodeAnswer(int, http.Header) Answer             { return Answer{} }
+func (plainCodec) EncodeRefusal(http.Header, string, time.Duration) {}
+
+func newExchange(t *testing.T, kind holder.Kind) (*exchange, *httptest.ResponseRecorder) {
+	t.Helper()
+	catalog := &holder.Catalog{Version: 1, Services: []holder.Service{{Name: "desk", MaxConnections: 40}}}
+	catalog.Index()
+	w := httptest.NewRecorder()
+	return &exchange{
+		Forwarder: New(holder.New(), placer.New(), nil, dialer.NewPool(), nil, plainCodec{}, "zone-a"),
+		Request:   Request{ID: "r1"}, w: w, r: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil), start: time.Now(),
+		current: catalog, route: &holder.Route{Name: "r", Kind: kind, MaxAttempts: 2}, service: "desk", until: time.Now().Add(time.Minute),
+	}, w
+}
+
+// isViolated runs f and reports whether it found one invariant broken.
+func isViolated(f func()) bool {
+	before := asserter.Violations()
+	f()
+	return asserter.Violations() == before+1
+}
+
+func TestNotRunIsNotToldOfWorkThatMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		x, w := newExchange(t, holder.NonIdempotent)
+		x.mayHaveRun = true
+		c.Assert(isViolated(func() { x.fail(status, "test", 0) }), qt.IsTrue)
+		c.Assert(w.Code, qt.Equals, http.StatusBadGateway)
+	}
+}
+
+func TestNoEventIsPassedOnTwice(t *testing.T) {
+	c := qt.New(t)
+	x, w := newExchange(t, holder.Streaming)
+	resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}
+	c.Assert(x.passEvent(resp, []byte("id: 5\n\n"), 5), qt.IsNil)
+	for _, id := range []int{5, 4} {
+		c.Assert(isViolated(func() { c.Assert(x.passEvent(resp, []byte("again\n\n"), id), qt.IsNotNil) }), qt.IsTrue)
+	}
+	c.Assert(w.Body.String(), qt.Equals, "id: 5\n\n")
+}
+
+// listen accepts one connection, reads a byte and closes it; the channel gets how many
+// were read.
+func listen(c *qt.C) (netip.AddrPort, chan int) {
+	ln, err := (&net.ListenConfig{}).Listen(c.Context(), "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = ln.Close() })
+	got := make(chan int, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		n, _ := conn.Read(make([]byte, 1))
+		_ = conn.Close()
+		got <- n
+	}()
+	return netip.MustParseAddrPort(ln.Addr().String()), got
+}
+
+// TestShortAnswerDoesNotEndCleanly ends an answer of which a byte is missing.
+func TestShortAnswerDoesNotEndCleanly(t *testing.T) {
+	c := qt.New(t)
+	x, _ := newExchange(t, holder.Idempotent)
+	addr, _ := listen(c)
+	x.placer.SetServers([]lister.Server{{ID: "i-1", Service: "desk", Addr: addr, Slots: 4}})
+	p, ok := x.placer.Place(x.newWork(), time.Now()).(*placer.Placed)
+	c.Assert(ok, qt.IsTrue)
+	conn, err := x.pool.Get(c.Context(), dialer.Key{ID: "i-1", Addr: addr}, 4)
+	c.Assert(err, qt.IsNil)
+	a := &answered{conn: conn, resp: &http.Response{StatusCode: http.StatusOK, ContentLength: 10, Body: http.NoBody}, stop: func() bool { return true }}
+	c.Assert(isViolated(func() {
+		c.Assert(func() { x.finishAnswer(p, a, 9, nil) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+	}), qt.IsTrue)
+}
+
+// TestAnswerToAnotherRequestIsNotTaken names another request in the answer.
+func TestAnswerToAnotherRequestIsNotTaken(t *testing.T) {
+	c := qt.New(t)
+	x, _ := newExchange(t, holder.Idempotent)
+	c.Assert(isViolated(func() { c.Assert(x.checkOwn(&answered{Answer: Answer{RequestID: "r2"}}), qt.IsNotNil) }), qt.IsTrue)
+	c.Assert(x.checkOwn(&answered{Answer: Answer{RequestID: "r1"}}), qt.IsNil)
+}
+
+func TestWorkThatMayHaveRunIsNotHandedOverAgain(t *testing.T) {
+	c := qt.New(t)
+	addr, got := listen(c)
+	x, _ := newExchange(t, holder.NonIdempotent)
+	x.mayHaveRun = true
+	p := &placer.Placed{Server: lister.Server{ID: "i-1", Service: "desk", Addr: addr}}
+	c.Assert(isViolated(func() {
+		_, notHandedOver := x.attempt(c.Context(), p).(*notSent)
+		c.Assert(notHandedOver, qt.IsTrue)
+	}), qt.IsTrue)
+	c.Assert(<-got, qt.Equals, 0)
+}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -14,6 +15,7 @@
 
 	"siskinfall/internal/backend/dialer"
 	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fleet/gossiper"
 	"siskinfall/internal/fleet/lister"
 	"siskinfall/internal/fleet/subscriber"
@@ -62,6 +64,8 @@
 	subscribe *subscriber.Subscriber
 	// leaving is set when the process is asked to stop.
 	leaving atomic.Bool
+	// inFlight counts callers' requests that have begun and not ended.
+	inFlight atomic.Int64
 }
 
 // NewGateway returns a gateway on a platform's source and headers.
@@ -168,13 +172,20 @@
 	ctx, cancel := context.WithDeadline(stop.Forced, start.Add(g.cfg.Gateway.Grace-cutMargin))
 	defer cancel()
 	err := front.Shutdown(ctx)
+	if stop.Forced.Err() == nil {
+		n := g.inFlight.Load()
+		err = errors.Join(err, asserter.Holds(n == 0, asserter.RuleDrained, "%d requests in flight after %v", n, time.Since(start)))
+	}
 	if err != nil {
+		log.Warn("work is cut off", "event", "stop", "role", RoleGateway, "in_flight", g.inFlight.Load(), "error", err)
 		_ = front.Close()
 	}
 	return err == nil
 }
 
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
