Gateway: log what the caller was sent, count how answers end

The ended line of a request had the status of the latest backend server only, and no metric told an answer that was ended as complete from one that was broken off, so the hypotheses of docs/incidents/stream-ended-early.md could be told apart only by last_event beside an unexpected status. The line now has sent_status; a second head of one answer, which net/http drops, is logged with the request's id (head_discarded) and counted; answers are counted by ending. What callers get is unchanged: net/http already discarded the second head. go test of the package and of internal/report passes.

--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -121,18 +121,22 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Forwarder: f, w: w, r: r, start: time.Now(), Request: f.codec.DecodeRequest(r.Header)}
-	if !x.admit() || !x.readBody() || !x.checkQuarantine() {
-		return
+	req := f.codec.DecodeRequest(r.Header)
+	x := &exchange{Forwarder: f, w: &reply{ResponseWriter: w, requestID: req.ID}, r: r, start: time.Now(), Request: req}
+	complete := false
+	// An aborted answer ends with a panic.
+	defer func() { countAnswer(complete) }()
+	if x.admit() && x.readBody() && x.checkQuarantine() {
+		x.serve(r.Context())
 	}
-	x.serve(r.Context())
+	complete = true
 }
 
 // exchange is the state of one request over its attempts at backend servers.
 type exchange struct {
 	*Forwarder
 	Request
-	w     http.ResponseWriter
+	w     *reply
 	r     *http.Request
 	start time.Time
 	// snapshot is the catalog that applies to the request from start to end.
@@ -265,7 +269,7 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w.ResponseWriter, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -324,7 +328,7 @@
 	took := time.Since(x.start)
 	countEnd(status, took)
 	fields := []any{
-		"event", "ended", "request", x.ID, "status", status, "reason", reason, "route", route, "service", x.service,
+		"event", "ended", "request", x.ID, "status", status, "sent_status", x.w.status, "reason", reason, "route", route, "service", x.service,
 		"took", took, "sent", x.attempts, "tried", x.tried, "catalog", x.catalog.GetVersion(),
 	}
 	if x.placed != nil {
