Gateway: an answer that has begun is continued or aborted, never replaced

Cause: a stream broke after its head and some events were relayed, and was sent to a second server. That server's failure (500, also 504, 404 or 204) went through the path for answers that have not begun: kept as the answer if no further attempt is possible, or relayed at once. net/http dropped the second head, its body was appended, the handler returned, and returning is what makes net/http end a chunked answer as complete. The class: completion was the default of every way out of the handler, and each of them had to remember to abort.

Fix: reply owns the caller's answer. It sends one head; a second one violates answer_is_whole and changes nothing. An answer is ended as complete only where the whole of it was written (setComplete); ServeHTTP aborts every other one, so that a new return cannot complete an answer. An answer that does not continue the stream is not relayed, counts as a failed attempt, and may be followed by another attempt within the limits. The log event head_discarded gives way to the violation.

TestTruncatedAnswerAbortsConnection expected the panic from finishAnswer, which now comes from reply.end; it checks the same outcome there.

--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -34,7 +34,9 @@
 		x.logAttempt(p, "failed by the backend server", nil)
 		return retry{sent: true, fallback: failure{status: a.resp.StatusCode, buffered: &bufferedAnswer{resp: a.resp, body: buffered.Bytes()}}}
 	}
-	x.writeHead(a.resp, whole, buffered.Len())
+	if err := x.writeHead(a.resp, whole, buffered.Len()); err != nil {
+		return x.finishAnswer(p, a, 0, err)
+	}
 	n, err := x.w.Write(buffered.Bytes())
 	written := int64(n)
 	if err == nil && !whole {
@@ -53,12 +55,14 @@
 
 // writeBuffered relays a failure that a backend server answered.
 func (x *exchange) writeBuffered(b *bufferedAnswer) {
-	x.writeHead(b.resp, true, len(b.body))
-	_, err := x.w.Write(b.body)
-	x.logEnd(b.resp.StatusCode, "failed by the backend server", 0)
-	if err != nil {
-		panic(http.ErrAbortHandler)
+	err := x.writeHead(b.resp, true, len(b.body))
+	if err == nil {
+		_, err = x.w.Write(b.body)
 	}
+	if err == nil {
+		x.w.setComplete()
+	}
+	x.logEnd(b.resp.StatusCode, "failed by the backend server", 0)
 }
 
 // checkLength asserts that an answer was relayed completely, if its length is known.
@@ -67,9 +71,7 @@
 	return asserter.Holds(whole, asserter.RuleWholeAnswer, "request %s: %d of %d bytes", x.ID, written, resp.ContentLength)
 }
 
-// finishAnswer ends a relayed answer. For an incomplete one, it panics with
-// http.ErrAbortHandler to close the client connection, so that it does not look
-// complete.
+// finishAnswer ends a relayed answer, which is complete if err is nil.
 func (x *exchange) finishAnswer(p *placer.Placed, a *answered, written int64, err error) nextAction {
 	if err == nil {
 		err = x.checkLength(a.resp, written)
@@ -78,8 +80,9 @@
 	if err != nil {
 		p.Finish(placer.Cancelled, time.Now())
 		x.logEnd(a.resp.StatusCode, "answer broke off", 0)
-		panic(http.ErrAbortHandler)
+		return done{}
 	}
+	x.w.setComplete()
 	outcome := placer.Served
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		outcome = placer.Failed
@@ -91,7 +94,7 @@
 
 // writeHead relays status and headers, with the length of the body if it is known. If
 // whole is set, length is that of the body.
-func (x *exchange) writeHead(resp *http.Response, whole bool, length int) {
+func (x *exchange) writeHead(resp *http.Response, whole bool, length int) error {
 	h := x.w.Header()
 	connection := h.Get("Connection")
 	for name, values := range copyHeaders(resp.Header) {
@@ -113,7 +116,7 @@
 		// A nil value keeps net/http from guessing one.
 		h["Content-Type"] = nil
 	}
-	x.w.WriteHeader(resp.StatusCode)
+	return x.w.sendHead(resp.StatusCode)
 }
 
 // maxEventBytes bounds one event of a stream.
@@ -151,7 +154,7 @@
 				reason = "answer broke off: " + err.Error()
 			}
 			x.logEnd(http.StatusOK, reason, 0)
-			panic(http.ErrAbortHandler)
+			return done{}
 		}
 	}
 }
@@ -165,10 +168,11 @@
 	if err := asserter.Holds(id == 0 || id > x.lastEvent, asserter.RuleWholeAnswer, "request %s: event %d after %d", x.ID, id, x.lastEvent); err != nil {
 		return err
 	}
-	if !x.headWritten {
-		x.headWritten = true
+	if !x.w.hasBegun() {
 		resp.ContentLength = -1
-		x.writeHead(resp, false, 0)
+		if err := x.writeHead(resp, false, 0); err != nil {
+			return err
+		}
 		firstEventSeconds.Update(time.Since(x.start).Seconds())
 	}
 	if _, err := x.w.Write(event); err != nil {
@@ -181,11 +185,13 @@
 }
 
 func (x *exchange) finishStream(p *placer.Placed, a *answered) nextAction {
-	if !x.headWritten {
-		x.headWritten = true
+	if !x.w.hasBegun() {
 		a.resp.ContentLength = -1
-		x.writeHead(a.resp, false, 0)
+		if err := x.writeHead(a.resp, false, 0); err != nil {
+			return x.finishAnswer(p, a, 0, err)
+		}
 	}
+	x.w.setComplete()
 	a.release(true, x.pool)
 	p.Finish(placer.Served, time.Now())
 	x.logEnd(a.resp.StatusCode, "answered", 0)
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -58,7 +58,8 @@
 // one connection.
 const maxStrayAnswers = 2
 
-// maxStrayBytes bounds the body of such an answer, and that of a rejection.
+// maxStrayBytes bounds the body of such an answer, and that of any other that is not
+// relayed.
 const maxStrayBytes = 64 << 10
 
 // hopHeaders are hop-by-hop headers, which are not forwarded.
@@ -147,8 +148,7 @@
 	switch {
 	case a.NotRun:
 		out := &notRun{Answer: a.Answer, status: a.resp.StatusCode}
-		_, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxStrayBytes))
-		a.release(err == nil, x.pool)
+		a.discard(x.pool)
 		return out
 	case !a.Signed && a.resp.StatusCode < http.StatusBadRequest:
 		a.release(false, x.pool)
@@ -168,6 +168,12 @@
 	_ = a.conn.Close()
 }
 
+// discard reads the rest of the body, up to maxStrayBytes, and releases the connection.
+func (a *answered) discard(pool *dialer.Pool) {
+	n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxStrayBytes))
+	a.release(err == nil && n < maxStrayBytes, pool)
+}
+
 // newRequest returns the request to be sent to the server.
 func (x *exchange) newRequest(p *placer.Placed) *http.Request {
 	h := copyHeaders(x.r.Header)
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -123,13 +123,10 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := f.codec.DecodeRequest(r.Header)
 	x := &exchange{Forwarder: f, w: &reply{ResponseWriter: w, requestID: req.ID}, r: r, start: time.Now(), Request: req}
-	complete := false
-	// An aborted answer ends with a panic.
-	defer func() { countAnswer(complete) }()
 	if x.admit() && x.readBody() && x.checkQuarantine() {
 		x.serve(r.Context())
 	}
-	complete = true
+	x.w.end()
 }
 
 // exchange is the state of one request over its attempts at backend servers.
@@ -159,10 +156,8 @@
 	placed *placer.Placed
 	// attempts counts how often the request was sent to a server.
 	attempts int
-	// lastEvent is the number of the last relayed event, and headWritten reports
-	// whether the head of a stream was relayed.
-	lastEvent   int
-	headWritten bool
+	// lastEvent is the number of the last relayed event.
+	lastEvent int
 	// mayHaveRun is set once a server may have begun to run the request.
 	mayHaveRun bool
 }
@@ -259,8 +254,8 @@
 	return targets[0].Service
 }
 
-// readBody reads the whole request body, so that the request can be retried, or
-// answers and reports false.
+// readBody reads the whole request body, so that the request can be retried. It answers
+// and reports false if the body is too large, and only reports false if it breaks off.
 func (x *exchange) readBody() bool {
 	limit := x.snapshot.Limits.BodyBytes
 	if limit <= 0 {
@@ -277,7 +272,7 @@
 		return false
 	case err != nil:
 		log.Info("reading the request body failed", "event", "ended", "request", x.ID, "step", "read_body", "error", err)
-		panic(http.ErrAbortHandler)
+		return false
 	}
 	x.body = body
 	return true
@@ -307,15 +302,21 @@
 	return false
 }
 
-// fail answers a request without an answer of a backend server.
+// fail answers a request without an answer of a backend server. The answer must not have
+// begun.
 func (x *exchange) fail(status int, reason string, retryAfter time.Duration) {
 	if promisesNotRun(status) && asserter.Holds(!x.mayHaveRun, asserter.RuleNotRun, "request %s, status %d, %s", x.ID, status, reason) != nil {
 		status = http.StatusBadGateway
 	}
 	x.codec.EncodeRefusal(x.w.Header(), x.ID, retryAfter)
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(status)
-	_, _ = io.WriteString(x.w, reason+"\n")
+	err := x.w.sendHead(status)
+	if err == nil {
+		_, err = io.WriteString(x.w, reason+"\n")
+	}
+	if err == nil {
+		x.w.setComplete()
+	}
 	x.logEnd(status, reason, retryAfter)
 }
 
--- a/internal/gateway/forwarder/invariant_test.go
+++ b/internal/gateway/forwarder/invariant_test.go
@@ -98,8 +98,30 @@
 	c.Assert(err, qt.IsNil)
 	a := &answered{conn: conn, resp: &http.Response{StatusCode: http.StatusOK, ContentLength: 10, Body: http.NoBody}, stop: func() bool { return true }}
 	c.Assert(violatesOnce(func() {
-		c.Assert(func() { x.finishAnswer(p, a, 9, nil) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+		x.finishAnswer(p, a, 9, nil)
 	}), qt.IsTrue)
+	c.Assert(x.w.end, qt.PanicMatches, http.ErrAbortHandler.Error())
+}
+
+// TestSecondHeadDoesNotReplaceAnswer answers a request again after its answer has begun.
+func TestSecondHeadDoesNotReplaceAnswer(t *testing.T) {
+	second := map[string]func(x *exchange){
+		"refusal": func(x *exchange) { x.fail(http.StatusBadGateway, "test", 0) },
+		"buffered failure": func(x *exchange) {
+			x.writeBuffered(&bufferedAnswer{resp: &http.Response{StatusCode: http.StatusInternalServerError}, body: []byte("failed")})
+		},
+	}
+	for name, answer := range second {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			x, w := newExchange(t, holder.Streaming)
+			resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}
+			c.Assert(x.relayEvent(resp, []byte("id: 5\n\n"), 5), qt.IsNil)
+			c.Assert(violatesOnce(func() { answer(x) }), qt.IsTrue)
+			c.Assert(w.Body.String(), qt.Equals, "id: 5\n\n")
+			c.Assert(x.w.end, qt.PanicMatches, http.ErrAbortHandler.Error())
+		})
+	}
 }
 
 // TestAnswerToAnotherRequestIsDiscarded checks an answer with the ID of another request.
--- a/internal/gateway/forwarder/reply.go
+++ b/internal/gateway/forwarder/reply.go
@@ -4,43 +4,55 @@
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/check/asserter"
 )
 
 var (
-	discardedHeads  = metrics.NewCounter("siskinfall_gateway_heads_discarded_total")
 	completeAnswers = metrics.NewCounter(`siskinfall_gateway_answers_total{ending="complete"}`)
 	abortedAnswers  = metrics.NewCounter(`siskinfall_gateway_answers_total{ending="aborted"}`)
 )
 
-// reply is the answer to a caller, with a record of what was sent.
+// reply is the answer to a caller. It ends as complete only if setComplete was called; end
+// aborts every other one, so that a new way out of the handler cannot complete an answer by
+// returning.
 type reply struct {
 	http.ResponseWriter
 	requestID string
 	// status is that of the head that was sent, 0 before.
 	status int
+	// complete is set once the whole answer was written.
+	complete bool
 }
 
-// WriteHeader implements http.ResponseWriter. It logs a second head, which the caller does
-// not get.
-func (p *reply) WriteHeader(status int) {
-	if p.status != 0 {
-		discardedHeads.Inc()
-		log.Warn("second head of an answer discarded", "event", "head_discarded", "request", p.requestID, "sent_status", p.status, "status", status)
-		return
+// hasBegun reports whether the caller has the head. From then on, the answer can be
+// continued or aborted, but not replaced by another one.
+func (p *reply) hasBegun() bool { return p.status != 0 }
+
+// sendHead sends the head. It fails if the answer has begun.
+func (p *reply) sendHead(status int) error {
+	err := asserter.Holds(!p.hasBegun(), asserter.RuleWholeAnswer, "request %s: head with status %d after one with %d", p.requestID, status, p.status)
+	if err != nil {
+		return err
 	}
 	p.status = status
-	p.ResponseWriter.WriteHeader(status)
+	p.WriteHeader(status)
+	return nil
 }
 
+// setComplete marks the answer as whole, so that it ends cleanly.
+func (p *reply) setComplete() { p.complete = true }
+
 // Unwrap returns the underlying writer for http.ResponseController.
 func (p *reply) Unwrap() http.ResponseWriter { return p.ResponseWriter }
 
-// countAnswer counts an answer by how it ended for the caller.
-func countAnswer(complete bool) {
-	if complete {
+// end counts the answer. For one that is not complete, it panics with http.ErrAbortHandler,
+// by which net/http closes the connection.
+func (p *reply) end() {
+	if p.complete {
 		completeAnswers.Inc()
 		return
 	}
 	abortedAnswers.Inc()
+	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -95,24 +96,23 @@
 		return false
 	}
 	retries.Inc()
-	if x.headWritten {
+	if x.w.hasBegun() {
 		resumedStreams.Inc()
 	}
 	return true
 }
 
-// answerFailure ends a request for which no further attempt is made. If a server may
-// have run it, an answer of this process has no status that means that it was not run.
+// answerFailure ends a request for which no further attempt is made. An answer that has
+// begun is left incomplete. If a server may have run the request, an answer of this process
+// has no status that means that it was not run.
 func (x *exchange) answerFailure(ctx context.Context, f failure) {
 	switch {
 	case x.r.Context().Err() != nil:
 		x.logEnd(0, "caller left", 0)
-		panic(http.ErrAbortHandler)
+	case x.w.hasBegun():
+		x.logEnd(x.w.status, "answer broke off: "+f.reason, 0)
 	case f.buffered != nil:
 		x.writeBuffered(f.buffered)
-	case x.headWritten:
-		x.logEnd(http.StatusOK, "answer broke off: "+f.reason, 0)
-		panic(http.ErrAbortHandler)
 	case x.mayHaveRun && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		x.fail(http.StatusGatewayTimeout, "no answer in time", 0)
 	case x.mayHaveRun && f.status < http.StatusInternalServerError, x.mayHaveRun && f.status == http.StatusServiceUnavailable:
@@ -151,8 +151,11 @@
 	case *unknown:
 		return x.handleUnknown(ctx, p, out.err)
 	case *answered:
-		if x.route.Kind == holder.Streaming && out.resp.StatusCode == http.StatusOK {
+		switch {
+		case x.route.Kind == holder.Streaming && out.resp.StatusCode == http.StatusOK:
 			return x.relayStream(ctx, p, out)
+		case x.w.hasBegun():
+			return x.handleFailedResumption(p, out)
 		}
 		return x.relayAnswer(ctx, p, out)
 	}
@@ -173,6 +176,15 @@
 	return retry{sent: true, fallback: failure{status: http.StatusServiceUnavailable, reason: "refused by the backend server", retryAfter: failureRetryAfter}}
 }
 
+// handleFailedResumption handles an answer that does not continue the one that has begun.
+// Nothing of it is relayed.
+func (x *exchange) handleFailedResumption(p *placer.Placed, a *answered) nextAction {
+	a.discard(x.pool)
+	p.Finish(placer.Failed, time.Now())
+	x.logAttempt(p, "resumption failed with status "+strconv.Itoa(a.resp.StatusCode), nil)
+	return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "resumption failed by the backend server"}}
+}
+
 // handleUnknown handles an attempt that may have run and received no answer.
 func (x *exchange) handleUnknown(ctx context.Context, p *placer.Placed, err error) nextAction {
 	x.logAttempt(p, "outcome unknown", err)
