Gateway: an answer of another media type does not continue a stream

What callers saw: after the events of a broken stream, the body of an answer that is no stream, and a regular end.

Cause: only the status decided whether an answer is relayed as a stream; a body with an empty line in it passes as an event without a number.

Evidence: TestContinuationOfOtherTypeDoesNotCompleteStream failed on: the body was the three events and "<p>sign in</p>".

Fix: an answer that has begun is continued only by one with the same status and media type, parameters aside; every other one is a failed resumption, whose log line names both.

Measured: the test passes; go test -race of the forwarder and the gateway tests of platform pass.

--- a/internal/gateway/forwarder/reply.go
+++ b/internal/gateway/forwarder/reply.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"mime"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +30,21 @@
 // continued or aborted, but not replaced by another one.
 func (p *reply) hasBegun() bool { return p.status != 0 }
 
+// isContinuedBy reports whether a server's answer can continue this one, which has begun:
+// the status and the media type must be the same.
+func (p *reply) isContinuedBy(resp *http.Response) bool {
+	return resp.StatusCode == p.status && getMediaType(resp.Header) == getMediaType(p.Header())
+}
+
+// getMediaType returns the content type without parameters, or as it is if it is malformed.
+func getMediaType(h http.Header) string {
+	value := h.Get("Content-Type")
+	if mediaType, _, err := mime.ParseMediaType(value); err == nil {
+		return mediaType
+	}
+	return value
+}
+
 // sendHead sends the head. It fails if the answer has begun.
 func (p *reply) sendHead(status int) error {
 	err := asserter.Holds(!p.hasBegun(), asserter.RuleWholeAnswer, "request %s: head with status %d after one with %d", p.requestID, status, p.status)
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/gateway/placer"
 )
 
@@ -152,10 +153,10 @@
 		return x.handleUnknown(ctx, p, out.err)
 	case *answered:
 		switch {
+		case x.w.hasBegun() && !x.w.isContinuedBy(out.resp):
+			return x.handleFailedResumption(p, out)
 		case x.route.Kind == holder.Streaming && out.resp.StatusCode == http.StatusOK:
 			return x.relayStream(ctx, p, out)
-		case x.w.hasBegun():
-			return x.handleFailedResumption(p, out)
 		}
 		return x.relayAnswer(ctx, p, out)
 	}
@@ -181,7 +182,8 @@
 func (x *exchange) handleFailedResumption(p *placer.Placed, a *answered) nextAction {
 	a.discard(x.pool)
 	p.Finish(placer.Failed, time.Now())
-	x.logAttempt(p, "resumption failed with status "+strconv.Itoa(a.resp.StatusCode), nil)
+	err := fmt.Errorf("status %d, content type %q, want %d, %q", a.resp.StatusCode, a.resp.Header.Get("Content-Type"), x.w.status, x.w.Header().Get("Content-Type"))
+	x.logAttempt(p, "resumption failed", wrapper.At("resume_stream", p.ID, err))
 	return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "resumption failed by the backend server"}}
 }
 
