Gateway: a stream with unnumbered events is not resumed

What callers saw: after a break, the events of a second run after those of the first, in one answer that ended as complete.

Cause: a resumption says after which event it goes on. For events without a number (none, or one that is not a number) the gateway had nothing to say, sent the request again without Last-Event-Id, and relayed the second run from its start.

Fix: once an event with data and without a number was relayed, no further attempt is made, and the answer is aborted; the caller knows what it has. Comments carry no data and do not count. The platform's engines number all events, so their streams are resumed as before.

--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -180,6 +180,8 @@
 	}
 	if id > 0 {
 		x.lastEvent = id
+	} else if hasData(event) {
+		x.unnumbered = true
 	}
 	return http.NewResponseController(x.w).Flush()
 }
@@ -198,8 +200,19 @@
 	return done{}
 }
 
-// idField starts the line with the number of an event.
-var idField = []byte("id:")
+// dataField starts a line with the data of an event, and idField the one with its number.
+var dataField, idField = []byte("data:"), []byte("id:")
+
+// hasData reports whether an event has data. Others, such as the comments that keep a
+// connection alive, mean nothing to a caller.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
 
 // readEvent reads one event, up to the blank line that ends it, and returns its number,
 // 0 if it has none. It returns io.EOF at the end of the stream, and
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -158,6 +158,9 @@
 	attempts int
 	// lastEvent is the number of the last relayed event.
 	lastEvent int
+	// unnumbered is set once an event with data but no number was relayed. Such a stream
+	// can't be resumed, since the next server would send the event again.
+	unnumbered bool
 	// mayHaveRun is set once a server may have begun to run the request.
 	mayHaveRun bool
 }
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -90,7 +90,7 @@
 // takeRetry reports whether the request may be retried, and charges the retry to the
 // budget.
 func (x *exchange) takeRetry() bool {
-	if x.mayHaveRun && !x.route.IsRepeatable() {
+	if x.mayHaveRun && !x.route.IsRepeatable() || x.unnumbered {
 		return false
 	}
 	if x.attempts >= x.route.MaxAttempts || !time.Now().Before(x.deadline) || !x.budget.TakeRetry(x.service, time.Now()) {
