Gateway: a broken answer of unknown length is reset for callers of HTTP/1.0

What callers saw: with HTTP/1.0, a stream that broke off ended like a whole one. Such an answer has neither a length nor chunks; the end of the connection ends it, and net/http closes an aborted connection regularly.

Fix: reply.end resets such a connection, so that reading fails. Answers to HTTP/1.1 have a length or chunks, and close as before.

--- a/internal/gateway/evictor/evictor.go
+++ b/internal/gateway/evictor/evictor.go
@@ -114,6 +114,15 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets the behaviour of Close like that of net.TCPConn. It does nothing for a
+// connection of another kind.
+func (c *conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/forwarder/reply.go
+++ b/internal/gateway/forwarder/reply.go
@@ -1,10 +1,12 @@
 package forwarder
 
 import (
+	"errors"
 	"mime"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/check/asserter"
 )
@@ -20,6 +22,9 @@
 type reply struct {
 	http.ResponseWriter
 	requestID string
+	// unframed is set for a caller of HTTP/1.0: the end of its connection ends an answer of
+	// unknown length.
+	unframed bool
 	// status is that of the head that was sent, 0 before.
 	status int
 	// complete is set once the whole answer was written.
@@ -63,12 +68,31 @@
 func (p *reply) Unwrap() http.ResponseWriter { return p.ResponseWriter }
 
 // end counts the answer. For one that is not complete, it panics with http.ErrAbortHandler,
-// by which net/http closes the connection.
+// by which net/http closes the connection. If that would look like a regular end, the
+// connection is reset instead.
 func (p *reply) end() {
 	if p.complete {
 		completeAnswers.Inc()
 		return
 	}
 	abortedAnswers.Inc()
+	if p.unframed {
+		p.reset()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// reset closes the caller's connection with a TCP reset.
+func (p *reply) reset() {
+	conn, _, err := http.NewResponseController(p.ResponseWriter).Hijack()
+	if err != nil {
+		log.Warn("taking over the client connection failed", "event", "reset", "request", p.requestID, "error", err)
+		return
+	}
+	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		err = c.SetLinger(0)
+	}
+	if err = errors.Join(err, conn.Close()); err != nil {
+		log.Info("resetting the client connection failed", "event", "reset", "request", p.requestID, "error", err)
+	}
+}
