Entry: abort every answer that is not explicitly completed

What callers saw: a caller that closed only its sending side while a stream of a model service was being sent got the part sent so far, ended by the final chunk; before the head it got an empty 200 with Content-Length 0. An answer longer than the Content-Length that came with it was cut at that length and looked whole.

Cause: net/http ends the answer of a handler that returns as a complete one, and only one way out of the handler panicked instead. It returned without a word on CallerGone, which also stands for a cancelled request context and for any error of the writer, while the connection could still be read.

Evidence: before the change the new tests failed with TestAnswerToHalfClosedCallerIsNotCompletedEarly: complete answer with body "part" TestHalfClosedCallerGetsNoEmptyAnswer: 200 OK, Content-Length:[0] TestAnswerLongerThanItsLengthIsNotCompleted: complete answer with body "part"

Change: type response owns the answer. The dispatcher calls Complete once it has checked the end of the answer, a refusal completes itself, and response.close aborts the connection in all other cases, so that a new way out of the handler aborts too.

--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -64,6 +64,7 @@
 	case refusal != nil:
 		return j.handleRefusal(ctx, target, refusal)
 	}
+	j.sink.Complete()
 	j.Trace.Add("complete", "status %d by %s", j.status, target.Name)
 	return &finished{&Completed{Status: j.status, FirstByte: j.firstByte}}
 }
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -51,6 +51,9 @@
 	// SendHead is called once, before any data.
 	SendHead(status int, headers []*encoder.Header, replayed bool) error
 	SendData(data []byte) error
+	// Complete is called once, after the last data of a whole answer. An answer
+	// without this call is not whole and must not look so to the caller.
+	Complete()
 }
 
 // Outcome is the final result of a request for its caller.
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -109,7 +109,8 @@
 // sink collects an answer.
 type sink struct {
 	bytes.Buffer
-	status int
+	status   int
+	complete bool
 }
 
 func (s *sink) SendHead(status int, _ []*encoder.Header, _ bool) error {
@@ -122,6 +123,8 @@
 	return err
 }
 
+func (s *sink) Complete() { s.complete = true }
+
 func send(st *connector.Stream, req *encoder.RunRequest, ev *encoder.RunEvent) {
 	ev.AttemptId = req.GetAttemptId()
 	_ = st.Send(ev)
@@ -236,8 +239,10 @@
 		sendEnd(st, req, 99, "part")
 	}
 	f := newFixture(c, 1, truncated)
-	out, ok := f.Do(t.Context(), newRequest(true), &sink{}).(*Refused)
+	s := &sink{}
+	out, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
 	c.Assert(ok, qt.IsTrue)
+	c.Assert(s.complete, qt.IsFalse)
 	c.Assert(out.HeadSent, qt.IsTrue)
 	c.Assert(out.Execution, qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
 }
@@ -253,6 +258,7 @@
 	_, ok := f.Do(t.Context(), newRequest(true), s).(*Completed)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(s.String(), qt.Equals, "one two")
+	c.Assert(s.complete, qt.IsTrue)
 	c.Assert(string(f.received[1].GetResumePrefix()), qt.Equals, "one ")
 }
 
--- a/internal/entry/server/callers.go
+++ b/internal/entry/server/callers.go
@@ -103,21 +103,28 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, find serviceFinder) {
 	id := getPublicID(r, s.newRequestID())
 	w.Header().Set(headerRequestID, id)
+	resp := newResponse(w, id)
+	s.answer(resp, r, find)
+	resp.close()
+}
+
+// answer refuses or runs a request.
+func (s *Server) answer(resp *response, r *http.Request, find serviceFinder) {
 	if !s.Accept() {
-		newProblem(http.StatusServiceUnavailable, encoder.CodeDraining, "accept", "this instance is shutting down").write(w, id)
+		resp.refuse(newProblem(http.StatusServiceUnavailable, encoder.CodeDraining, "accept", "this instance is shutting down"))
 		return
 	}
 	defer s.Finish()
 	if !s.configured.Load() {
-		newProblem(http.StatusServiceUnavailable, encoder.CodeNotReady, "accept", "this instance has no configuration yet").write(w, id)
+		resp.refuse(newProblem(http.StatusServiceUnavailable, encoder.CodeNotReady, "accept", "this instance has no configuration yet"))
 		return
 	}
-	req, problem := s.newRequest(w, r, id, find)
+	req, problem := s.newRequest(resp.w, r, resp.id, find)
 	if problem != nil {
-		problem.write(w, id)
+		resp.refuse(problem)
 		return
 	}
-	s.runRequest(w, r, req)
+	s.runRequest(resp, r, req)
 }
 
 // newRequest authenticates and checks a request, and sets its service, class,
@@ -219,18 +226,17 @@
 }
 
 // runRequest admits a request and writes its outcome.
-func (s *Server) runRequest(w http.ResponseWriter, r *http.Request, req *dispatcher.Request) {
+func (s *Server) runRequest(resp *response, r *http.Request, req *dispatcher.Request) {
 	req.Trace = s.recorder.NewTrace(req.PublicID, req.Account.Name, req.Service.Name)
 	release, wait, err := s.limiter.Acquire(r.Context(), req.Account)
 	if err != nil {
 		req.Trace.Add("limit", "refused: %v", err)
-		newLimitProblem(err, wait).write(w, req.PublicID)
+		resp.refuse(newLimitProblem(err, wait))
 		countRequest(req, "limited")
 		return
 	}
 	defer release()
-	sink := &callerSink{w: w, rc: http.NewResponseController(w)}
-	outcome := s.dispatcher.Do(r.Context(), req, sink)
+	outcome := s.dispatcher.Do(r.Context(), req, resp)
 	s.recordOutcome(req, outcome)
 	refused, ok := outcome.(*dispatcher.Refused)
 	if !ok {
@@ -239,11 +245,11 @@
 	log.Info("request refused", "request_id", req.PublicID, "attempts_of", req.ID, "client_account", req.Account.Name, "service", req.Service.Name,
 		"code", refused.Code, "step", refused.Step, "execution", dispatcher.ExecutionName(refused.Execution))
 	p := newRefusalProblem(refused)
-	if !refused.HeadSent {
-		p.write(w, req.PublicID)
+	if refused.HeadSent {
+		resp.sendErrorEvent(p)
 		return
 	}
-	sink.abort(p, req.PublicID)
+	resp.refuse(p)
 }
 
 func newLimitProblem(err error, wait time.Duration) *Problem {
@@ -277,52 +283,3 @@
 func countRequest(req *dispatcher.Request, result string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_requests_total{service=%q,result=%q}`, req.Service.Name, result)).Inc()
 }
-
-// callerSink writes an answer to the HTTP response. It flushes every write of an
-// event stream.
-type callerSink struct {
-	w      http.ResponseWriter
-	rc     *http.ResponseController
-	stream bool
-}
-
-// SendHead implements dispatcher.Sink.
-func (c *callerSink) SendHead(status int, headers []*encoder.Header, replayed bool) error {
-	for _, h := range headers {
-		if h.GetName() == "X-Attempt-Id" {
-			continue
-		}
-		c.w.Header().Set(h.GetName(), h.GetValue())
-		c.stream = c.stream || h.GetName() == "Content-Type" && h.GetValue() == "text/event-stream"
-	}
-	if replayed {
-		c.w.Header().Set(headerReplayed, "true")
-	}
-	c.w.WriteHeader(status)
-	return nil
-}
-
-// SendData implements dispatcher.Sink.
-func (c *callerSink) SendData(data []byte) error {
-	if _, err := c.w.Write(data); err != nil {
-		return err
-	}
-	if c.stream {
-		return c.rc.Flush()
-	}
-	return nil
-}
-
-// abort ends an answer that cannot be completed. An event stream gets an error
-// event; in every case the connection is aborted, so that the caller does not
-// take the body for complete.
-func (c *callerSink) abort(p *Problem, id string) {
-	if c.stream {
-		data, err := json.Marshal(p.withID(id))
-		if err == nil {
-			_, _ = fmt.Fprintf(c.w, "event: error\ndata: %s\n\n", data)
-		}
-	}
-	_ = c.rc.Flush()
-	panic(http.ErrAbortHandler)
-}
--- /dev/null
+++ b/internal/entry/server/callers_test.go
@@ -0,0 +1,215 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"siskinfall/internal/config/registrar"
+	"siskinfall/internal/routing/tracker"
+	"siskinfall/internal/settings/loader"
+	"siskinfall/internal/standin/keeper"
+	"siskinfall/internal/store/storer"
+	"siskinfall/internal/wire/connector"
+	"siskinfall/internal/wire/encoder"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	os.Exit(m.Run())
+}
+
+const (
+	testKey      = "key"
+	statusPeriod = 20 * time.Millisecond
+)
+
+// script is how the scripted agent answers an attempt.
+type script func(req *encoder.RunRequest, st *connector.Stream)
+
+// testEntry is an entry instance with one scripted agent and a stand-in platform.
+type testEntry struct {
+	*Server
+	callers *httptest.Server
+}
+
+func newTestEntry(c *qt.C, kind registrar.ServiceKind, answer script) *testEntry {
+	ctx, cancel := context.WithCancel(context.Background())
+	platform := httptest.NewServer(keeper.New().Handler())
+	cfg := loader.NewSettings()
+	cfg.Instance, cfg.Zone = "entry", "z"
+	client := storer.NewClient(netip.MustParseAddrPort(platform.Listener.Addr().String()), storer.WithTimeout(time.Second))
+	e := &testEntry{Server: New(ctx, cfg, 1, client)}
+	e.activeConfig.Apply(newEntities(c, kind))
+	e.setConfigured("test")
+	agent := startAgent(ctx, c, answer)
+	e.tracker.SetInstances(ctx, []storer.Instance{agent})
+	e.callers = httptest.NewServer(e.CallersHandler())
+	c.Cleanup(func() { cancel(); e.callers.Close(); e.pool.Close(); e.tracker.Wait(); platform.Close() })
+	waitFor(c, func() bool { return len(e.tracker.GetService("svc").Backends) == 1 })
+	return e
+}
+
+func newEntities(c *qt.C, kind registrar.ServiceKind) []*encoder.Entity {
+	sum := sha256.Sum256([]byte(testKey))
+	ticket := &registrar.Ticket{
+		Number:   1,
+		Accounts: []*registrar.ClientAccount{{Name: "acc", KeyHashes: []string{hex.EncodeToString(sum[:])}, Weight: 1}},
+		Services: []*registrar.Service{{
+			Name: "svc", Kind: kind, PathPrefix: "/svc/", Timeout: time.Minute, MaxAttempts: 1, Retention: time.Hour,
+		}},
+	}
+	entities, err := ticket.Entities()
+	c.Assert(err, qt.IsNil)
+	return entities
+}
+
+func startAgent(ctx context.Context, c *qt.C, answer script) storer.Instance {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	handle := func(ctx context.Context, _ *encoder.Hello, open *encoder.Open, st *connector.Stream) {
+		switch k := open.GetKind().(type) {
+		case *encoder.Open_Watch:
+			tick := time.NewTicker(statusPeriod)
+			defer tick.Stop()
+			for st.Send(&encoder.AgentStatus{Instance: "agent", Service: "svc", Ready: true, Concurrency: 4}) == nil {
+				select {
+				case <-tick.C:
+				case <-ctx.Done():
+					return
+				}
+			}
+		case *encoder.Open_Run:
+			answer(k.Run, st)
+		}
+	}
+	a := connector.NewAcceptor(&encoder.Hello{Version: encoder.Version, Instance: "agent"}, handle)
+	go func() { _ = a.Serve(ctx, ln) }()
+	return storer.Instance{Name: "agent", Role: tracker.RoleAgent, Zone: "z", Address: netip.MustParseAddrPort(ln.Addr().String())}
+}
+
+// waitFor polls until ok returns true, and fails the test when its context ends.
+func waitFor(c *qt.C, ok func() bool) {
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !ok() {
+		select {
+		case <-tick.C:
+		case <-c.Context().Done():
+			c.Fatal("condition not met")
+		}
+	}
+}
+
+func sendHead(req *encoder.RunRequest, st *connector.Stream, headers ...*encoder.Header) {
+	head := &encoder.Head{Status: http.StatusOK, Headers: headers}
+	_ = st.Send(&encoder.RunEvent{AttemptId: req.GetAttemptId(), Kind: &encoder.RunEvent_Head{Head: head}})
+}
+
+func sendChunk(req *encoder.RunRequest, st *connector.Stream, offset uint64, data string) {
+	chunk := &encoder.Chunk{Offset: offset, Data: []byte(data)}
+	_ = st.Send(&encoder.RunEvent{AttemptId: req.GetAttemptId(), Kind: &encoder.RunEvent_Chunk{Chunk: chunk}})
+}
+
+func sendEnd(req *encoder.RunRequest, st *connector.Stream, data string) {
+	end := &encoder.End{Length: uint64(len(data)), Checksum: xxhash.Sum64String(data)}
+	_ = st.Send(&encoder.RunEvent{AttemptId: req.GetAttemptId(), Kind: &encoder.RunEvent_End{End: end}})
+}
+
+var eventStream = &encoder.Header{Name: "Content-Type", Value: "text/event-stream"}
+
+// send writes a request to a new connection.
+func (e *testEntry) send(c *qt.C, request string) *net.TCPConn {
+	conn, err := net.Dial("tcp", e.callers.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, request)
+	c.Assert(err, qt.IsNil)
+	return conn.(*net.TCPConn)
+}
+
+const (
+	chatBody   = `{"model":"svc"}`
+	chatHTTP11 = "POST /v1/chat/completions HTTP/1.1" + chatRest
+	chatRest   = "\r\nHost: entry\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 15\r\n\r\n" + chatBody
+)
+
+// readAnswer reads an answer and returns its body up to the end or to an error.
+func readAnswer(conn net.Conn) (body string, err error) {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+func TestWholeAnswerIsCompleted(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEntry(c, registrar.ServiceModel, func(req *encoder.RunRequest, st *connector.Stream) {
+		sendHead(req, st, eventStream)
+		sendChunk(req, st, 0, "whole")
+		sendEnd(req, st, "whole")
+	})
+	body, err := readAnswer(e.send(c, chatHTTP11))
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "whole")
+}
+
+// A caller that has closed only its sending side still reads the answer.
+func TestAnswerToHalfClosedCallerIsNotCompletedEarly(t *testing.T) {
+	c := qt.New(t)
+	began := make(chan struct{})
+	e := newTestEntry(c, registrar.ServiceModel, func(req *encoder.RunRequest, st *connector.Stream) {
+		sendHead(req, st, eventStream)
+		sendChunk(req, st, 0, "part")
+		close(began)
+		_ = st.Receive(&encoder.Open{})
+	})
+	conn := e.send(c, chatHTTP11)
+	<-began
+	c.Assert(conn.CloseWrite(), qt.IsNil)
+	body, err := readAnswer(conn)
+	c.Assert(err, qt.IsNotNil, qt.Commentf("complete answer with body %q", body))
+}
+
+// Without a head, a handler that returns sends an empty 200.
+func TestHalfClosedCallerGetsNoEmptyAnswer(t *testing.T) {
+	c := qt.New(t)
+	began := make(chan struct{})
+	e := newTestEntry(c, registrar.ServiceModel, func(_ *encoder.RunRequest, st *connector.Stream) {
+		close(began)
+		_ = st.Receive(&encoder.Open{})
+	})
+	conn := e.send(c, chatHTTP11)
+	<-began
+	c.Assert(conn.CloseWrite(), qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNotNil, qt.Commentf("%v", resp))
+}
+
+// The writer refuses data beyond the declared length while the connection lives.
+func TestAnswerLongerThanItsLengthIsNotCompleted(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEntry(c, registrar.ServiceModel, func(req *encoder.RunRequest, st *connector.Stream) {
+		sendHead(req, st, &encoder.Header{Name: "Content-Length", Value: "4"})
+		sendChunk(req, st, 0, "part")
+		sendChunk(req, st, 4, " and more")
+		sendEnd(req, st, "part and more")
+	})
+	body, err := readAnswer(e.send(c, chatHTTP11))
+	c.Assert(err, qt.IsNotNil, qt.Commentf("complete answer with body %q", body))
+}
