Entry: reset the connection of an HTTP/1.0 caller whose answer broke off

What callers saw: an answer to an HTTP/1.0 request ends with its connection. One that broke off, or that was in progress when the server closed its connections at the end of a shutdown, ended with a regular close, as a whole answer does.

Cause: net/http closes an aborted connection regularly. That is visible in a chunked answer and in one with a length, and nowhere else.

Change: from the head of such an answer until Complete, SO_LINGER of the connection is on with a time of 0, so that each close of it is a reset, also by http.Server.Close and by the end of the process. Complete flushes and sets the default again. The connection reaches the handler by ConnContext; where it can't be reset, the answer isn't begun.

--- a/internal/entry/server/callers.go
+++ b/internal/entry/server/callers.go
@@ -103,7 +103,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, find serviceFinder) {
 	id := getPublicID(r, s.newRequestID())
 	w.Header().Set(headerRequestID, id)
-	resp := newResponse(w, id)
+	resp := newResponse(w, r, id)
 	s.answer(resp, r, find)
 	resp.close()
 }
--- a/internal/entry/server/callers_test.go
+++ b/internal/entry/server/callers_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,7 +59,9 @@
 	e.setConfigured("test")
 	agent := startAgent(ctx, c, answer)
 	e.tracker.SetInstances(ctx, []storer.Instance{agent})
-	e.callers = httptest.NewServer(e.CallersHandler())
+	e.callers = httptest.NewUnstartedServer(e.CallersHandler())
+	e.callers.Config.ConnContext = WithConn
+	e.callers.Start()
 	c.Cleanup(func() { cancel(); e.callers.Close(); e.pool.Close(); e.tracker.Wait(); platform.Close() })
 	waitFor(c, func() bool { return len(e.tracker.GetService("svc").Backends) == 1 })
 	return e
@@ -144,6 +148,7 @@
 const (
 	chatBody   = `{"model":"svc"}`
 	chatHTTP11 = "POST /v1/chat/completions HTTP/1.1" + chatRest
+	chatHTTP10 = "POST /v1/chat/completions HTTP/1.0" + chatRest
 	chatRest   = "\r\nHost: entry\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 15\r\n\r\n" + chatBody
 )
 
@@ -213,3 +218,47 @@
 	body, err := readAnswer(e.send(c, chatHTTP11))
 	c.Assert(err, qt.IsNotNil, qt.Commentf("complete answer with body %q", body))
 }
+
+// An answer to an HTTP/1.0 caller ends with its connection, so that only a reset
+// shows the caller that it broke off.
+func TestBrokenAnswerToHTTP10CallerEndsWithReset(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEntry(c, registrar.ServiceModel, func(req *encoder.RunRequest, st *connector.Stream) {
+		sendHead(req, st, eventStream)
+		sendChunk(req, st, 0, "part")
+	})
+	body, err := readAnswer(e.send(c, chatHTTP10))
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("body %q, error %v", body, err))
+}
+
+// Closing the server must not end an answer that is in progress as a whole one.
+func TestServerCloseResetsAnswerToHTTP10Caller(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEntry(c, registrar.ServiceModel, func(req *encoder.RunRequest, st *connector.Stream) {
+		sendHead(req, st, eventStream)
+		sendChunk(req, st, 0, "part")
+		_ = st.Receive(&encoder.Open{})
+	})
+	conn := e.send(c, chatHTTP10)
+	r := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(r, nil)
+	c.Assert(err, qt.IsNil)
+	part := make([]byte, len("part"))
+	_, err = io.ReadFull(resp.Body, part)
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.callers.Config.Close(), qt.IsNil)
+	_, err = io.ReadAll(resp.Body)
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("error %v", err))
+}
+
+func TestWholeAnswerToHTTP10CallerIsCompleted(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEntry(c, registrar.ServiceModel, func(req *encoder.RunRequest, st *connector.Stream) {
+		sendHead(req, st, eventStream)
+		sendChunk(req, st, 0, "whole")
+		sendEnd(req, st, "whole")
+	})
+	body, err := readAnswer(e.send(c, chatHTTP10))
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "whole")
+}
--- a/internal/entry/server/response.go
+++ b/internal/entry/server/response.go
@@ -1,8 +1,11 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,16 +22,56 @@
 	// id is the request ID in answers to the caller.
 	id     string
 	stream bool
+	// endsWithConn says that nothing but the end of the connection ends the answer.
+	endsWithConn bool
+	// conn is nil if the connection cannot be reset.
+	conn lingerer
 	// complete is set only once the whole answer was written.
 	complete bool
 }
 
-func newResponse(w http.ResponseWriter, id string) *response {
-	return &response{w: w, rc: http.NewResponseController(w), id: id}
+func newResponse(w http.ResponseWriter, r *http.Request, id string) *response {
+	conn, _ := r.Context().Value(connKey{}).(lingerer)
+	return &response{w: w, rc: http.NewResponseController(w), id: id, endsWithConn: !r.ProtoAtLeast(1, 1), conn: conn}
+}
+
+// lingerer is the part of net.TCPConn that selects what closing the connection does.
+type lingerer interface{ SetLinger(sec int) error }
+
+// Arguments of SetLinger.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// WithConn adds a connection to the context of its requests. The http.Server of
+// CallersHandler must use it as ConnContext.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+var errNoReset = errors.New("connection cannot be reset")
+
+// resetOnClose makes every close of the connection reset it until Complete, also
+// one by the server or by the end of the process.
+func (r *response) resetOnClose() error {
+	if !r.endsWithConn {
+		return nil
+	}
+	if r.conn == nil {
+		return errNoReset
+	}
+	return r.conn.SetLinger(lingerReset)
 }
 
 // SendHead implements dispatcher.Sink.
 func (r *response) SendHead(status int, headers []*encoder.Header, replayed bool) error {
+	if err := r.resetOnClose(); err != nil {
+		return err
+	}
 	for _, h := range headers {
 		if h.GetName() == "X-Attempt-Id" {
 			continue
@@ -55,12 +98,17 @@
 }
 
 // Complete implements dispatcher.Sink.
-func (r *response) Complete() { r.complete = true }
+func (r *response) Complete() {
+	if r.endsWithConn && (r.rc.Flush() != nil || r.conn.SetLinger(lingerDefault) != nil) {
+		return
+	}
+	r.complete = true
+}
 
 // refuse answers with a problem.
 func (r *response) refuse(p *Problem) {
 	p.write(r.w, r.id)
-	r.Complete()
+	r.complete = true
 }
 
 // sendErrorEvent adds an error event to an event stream that cannot be completed.
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -209,7 +209,7 @@
 		if _, err := ls.bind(l.addr); err != nil {
 			return nil, err
 		}
-		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout})
+		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: entry.WithConn})
 	}
 	return servers, nil
 }
