Entry: complete no answer that has no head

What callers would see: an answer whose end came without a head was completed with status 0, which net/http sends as an empty 200; data without a head went out under an implicit 200. A head with an interim status (101) and a second head were taken, too.

Cause: the dispatcher checked the length and the checksum of an answer, but not that it begins with one head of a final status. Agents send such answers only when they are broken themselves, so the dispatcher must not rely on it.

Change: handleHead takes one head per attempt with a status from 200 to 999, handleChunk and handleEnd need it. Otherwise the attempt counts as broken off.

--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,6 +39,9 @@
 	errUnknownKind     = errors.New("event of unknown kind")
 	errCallerGone      = errors.New("caller has gone")
 	errHeadMismatch    = errors.New("answer differs from what the caller has")
+	errHeadMissing     = errors.New("answer without a head")
+	errSecondHead      = errors.New("second head in one answer")
+	errStatusNotFinal  = errors.New("status of the answer is not final")
 )
 
 var mismatchedEvents = metrics.NewCounter("siskinfall_crossed_events_total")
@@ -136,12 +140,17 @@
 	}
 }
 
+// maxStatus is the highest status that net/http can send.
+const maxStatus = 999
+
 // answerReceiver is the state of one attempt's answer as it arrives.
 type answerReceiver struct {
 	*job
 	req    *encoder.RunRequest
 	target *tracker.Target
 	peer   string
+	// headReceived says that the head has arrived; it comes once, before all data.
+	headReceived bool
 	// offset and sum are the length and the checksum of the forwarded data; offset
 	// also counts the resume prefix.
 	offset uint64
@@ -194,21 +203,43 @@
 func (r *answerReceiver) handleEvent(ev *encoder.RunEvent) (refusal *encoder.Refusal, done bool, err error) {
 	switch k := ev.GetKind().(type) {
 	case *encoder.RunEvent_Head:
-		return nil, false, r.forwardHead(k.Head)
+		return nil, false, r.handleHead(k.Head)
 	case *encoder.RunEvent_Chunk:
 		return nil, false, r.handleChunk(k.Chunk)
 	case *encoder.RunEvent_End:
-		complete := k.End.GetLength() == r.offset && k.End.GetChecksum() == r.sum.Sum64()
-		err := asserter.Holds(complete, asserter.RuleWholeAnswer, "attempt %s: %d of %d bytes", r.req.GetAttemptId(), r.offset, k.End.GetLength())
-		return nil, true, err
+		return nil, true, r.handleEnd(k.End)
 	case *encoder.RunEvent_Refusal:
 		return k.Refusal, true, nil
 	}
 	return nil, false, wrapper.At("receive_answer", r.peer, errUnknownKind)
 }
 
+// handleHead forwards the head. Only final statuses can be answered.
+func (r *answerReceiver) handleHead(h *encoder.Head) error {
+	switch {
+	case r.headReceived:
+		return wrapper.At("receive_answer", r.peer, errSecondHead)
+	case h.GetStatus() < http.StatusOK || h.GetStatus() > maxStatus:
+		return wrapper.At("receive_answer", r.peer, errStatusNotFinal)
+	}
+	r.headReceived = true
+	return r.forwardHead(h)
+}
+
+// handleEnd asserts that the data before the end is the whole answer.
+func (r *answerReceiver) handleEnd(e *encoder.End) error {
+	if !r.headReceived {
+		return wrapper.At("receive_answer", r.peer, errHeadMissing)
+	}
+	complete := e.GetLength() == r.offset && e.GetChecksum() == r.sum.Sum64()
+	return asserter.Holds(complete, asserter.RuleWholeAnswer, "attempt %s: %d of %d bytes", r.req.GetAttemptId(), r.offset, e.GetLength())
+}
+
 // handleChunk forwards data that directly follows the data before it.
 func (r *answerReceiver) handleChunk(c *encoder.Chunk) error {
+	if !r.headReceived {
+		return wrapper.At("receive_answer", r.peer, errHeadMissing)
+	}
 	if c.GetOffset() != r.offset {
 		return wrapper.At("receive_answer", r.peer, errOffsetMismatch)
 	}
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -304,3 +304,46 @@
 	}
 	c.Assert(len(f.received) <= requests+maxRetryBudget, qt.IsTrue, qt.Commentf("%d attempts", len(f.received)))
 }
+
+// Data or an end without a head would become an empty or implicit status 200.
+func TestAnswerWithoutHeadIsNotCompleted(t *testing.T) {
+	c := qt.New(t)
+	onlyEnd := func(req *encoder.RunRequest, st *connector.Stream) { sendEnd(st, req, 0, "") }
+	onlyData := func(req *encoder.RunRequest, st *connector.Stream) {
+		sendChunk(st, req, 0, "data")
+		sendEnd(st, req, 4, "data")
+	}
+	for name, answer := range map[string]script{"only end": onlyEnd, "only data": onlyData} {
+		c.Run(name, func(c *qt.C) {
+			f := newFixture(c, 1, answer)
+			s := &sink{}
+			out, ok := f.Do(c.Context(), newRequest(true), s).(*Refused)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(out.HeadSent, qt.IsFalse)
+			c.Assert(s.complete, qt.IsFalse)
+			c.Assert(s.Len(), qt.Equals, 0)
+		})
+	}
+}
+
+// A head is final and comes once: net/http takes a status below 200 for an interim one.
+func TestInterimOrSecondHeadIsNotForwarded(t *testing.T) {
+	c := qt.New(t)
+	withStatus := func(statuses ...uint32) script {
+		return func(req *encoder.RunRequest, st *connector.Stream) {
+			for _, status := range statuses {
+				send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: &encoder.Head{Status: status}}})
+			}
+			sendEnd(st, req, 0, "")
+		}
+	}
+	for name, answer := range map[string]script{"none": withStatus(0), "interim": withStatus(101), "second": withStatus(200, 200)} {
+		c.Run(name, func(c *qt.C) {
+			f := newFixture(c, 1, answer)
+			s := &sink{}
+			_, ok := f.Do(c.Context(), newRequest(true), s).(*Refused)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(s.complete, qt.IsFalse)
+		})
+	}
+}
