Entry: resume only event streams, and only with event streams

What callers saw: a JSON answer of a model service that broke off in the middle was sent on to a second server, which answered it whole; the caller got both, one after the other, as one complete answer. A second attempt with the same status and another content type, such as an error document, was appended to the events sent before. If the caller had only a head, it got the second server's data under the first server's headers.

Cause: an answer counted as resumable by the kind of its service, and a resumed answer was compared with the first by its status alone.

Evidence: before the change the new tests failed with TestBrokenJSONAnswerIsNotResumed: completed with "{\"a\":{\"a\":1}" TestResumedAnswerOfOtherTypeIsNotAppended: completed with "data: 1\n\n{\"error\":\"busy\"}" TestHeadOfOtherAnswerIsNotContinued: completed with "second" TestFailureOfResumedAttemptIsNotAppended, the case of the incident on this interface, passed before; it fails on a scratch copy without the comparison of the statuses.

Change: the dispatcher keeps the head that the caller has. Only an event stream is resumed after its data, and only an event stream of the same status continues it; before the first data, all headers that callers get must be equal. The scripted answers of the dispatcher's tests now carry the content type of the streams that they stand for.

Measured: go test -race -count=1 -p 2 of entry/dispatcher and entry/server passes, golangci-lint has no issues.

--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -69,8 +69,8 @@
 		return j.handleRefusal(ctx, target, refusal)
 	}
 	j.sink.Complete()
-	j.Trace.Add("complete", "status %d by %s", j.status, target.Name)
-	return &finished{&Completed{Status: j.status, FirstByte: j.firstByte}}
+	j.Trace.Add("complete", "status %d by %s", j.head.GetStatus(), target.Name)
+	return &finished{&Completed{Status: int(j.head.GetStatus()), FirstByte: j.firstByte}}
 }
 
 // cancelOnLoss cancels an attempt when the agent's heartbeats are missing or its
@@ -248,24 +248,32 @@
 	return r.forwardData(c.GetData())
 }
 
-// forwardHead sends the head to the caller once; the status of a resumed answer
-// must equal the one already sent.
+// forwardHead sends the head to the caller once. The answer of a later attempt must
+// continue the one that the caller has.
 func (j *job) forwardHead(h *encoder.Head) error {
-	if j.headSent {
-		if int(h.GetStatus()) != j.status {
+	if j.head != nil {
+		if !j.continues(h) {
 			return errHeadMismatch
 		}
 		return nil
 	}
-	j.headSent = true
-	j.status = int(h.GetStatus())
+	j.head = h
 	j.firstByte = time.Since(j.start)
-	if err := j.sink.SendHead(j.status, h.GetHeaders(), h.GetReplayed()); err != nil {
+	if err := j.sink.SendHead(h); err != nil {
 		return errors.Join(errCallerGone, err)
 	}
 	return nil
 }
 
+// continues reports whether an answer with the head h can continue the one that the
+// caller has.
+func (j *job) continues(h *encoder.Head) bool {
+	if len(j.sent) == 0 {
+		return h.IsSameAs(j.head)
+	}
+	return h.GetStatus() == j.head.GetStatus() && h.IsEventStream()
+}
+
 func (j *job) forwardData(data []byte) error {
 	if j.resumable = j.resumable && j.Idempotent && len(j.sent)+len(data) <= maxResumeBytes; j.resumable {
 		j.sent = append(j.sent, data...)
@@ -286,16 +294,16 @@
 // retryOrRefuse retries unless the caller has a partial answer that cannot be
 // resumed.
 func (j *job) retryOrRefuse(ctx context.Context) nextAction {
-	if j.headSent && (!j.Idempotent || !j.canResume()) {
+	if j.head != nil && (!j.Idempotent || !j.canResume()) {
 		return &finished{j.refuse(ctx, j.lastRefusal.GetCode(), j.lastRefusal.GetStep())}
 	}
 	return &retry{}
 }
 
 // canResume reports whether another attempt can continue after the data that
-// the caller has.
+// the caller has. Engines continue only event streams.
 func (j *job) canResume() bool {
-	return j.resumable && (len(j.sent) == 0 || j.Service.Kind == registrar.ServiceModel)
+	return j.resumable && (len(j.sent) == 0 || j.Service.Kind == registrar.ServiceModel && j.head.IsEventStream())
 }
 
 // handleRefusal decides what follows an agent's refusal.
@@ -363,7 +371,7 @@
 
 func (j *job) newOutcomeUnknown(r *encoder.Refusal) *Refused {
 	return &Refused{
-		Code: r.GetCode(), Step: r.GetStep(), Execution: encoder.Execution_EXECUTION_UNKNOWN, HeadSent: j.headSent,
+		Code: r.GetCode(), Step: r.GetStep(), Execution: encoder.Execution_EXECUTION_UNKNOWN, HeadSent: j.head != nil,
 		RetryAfter: minRetryAfter, Detail: "an earlier run of this key was handed over and its outcome was lost",
 	}
 }
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -49,7 +49,7 @@
 // Sink writes an answer to the caller. It is used by one goroutine.
 type Sink interface {
 	// SendHead is called once, before any data.
-	SendHead(status int, headers []*encoder.Header, replayed bool) error
+	SendHead(head *encoder.Head) error
 	SendData(data []byte) error
 	// Complete is called once, after the last data of a whole answer. An answer
 	// without this call is not whole and must not look so to the caller.
@@ -148,9 +148,8 @@
 	// generation is the generation of the key that attempts carry. Once it is closed,
 	// none of them can run.
 	generation uint64
-	// headSent says that the caller has the head of the answer.
-	headSent  bool
-	status    int
+	// head is the head that the caller has, nil for none.
+	head      *encoder.Head
 	firstByte time.Duration
 	// sent is the data that the caller has, for resumption.
 	sent []byte
@@ -304,13 +303,13 @@
 // It closes the key of a non-idempotent request that may still run.
 func (j *job) refuse(ctx context.Context, code, step string) Outcome {
 	out := &Refused{
-		Code: code, Step: step, Execution: encoder.Execution_EXECUTION_NOT_RUN, HeadSent: j.headSent,
+		Code: code, Step: step, Execution: encoder.Execution_EXECUTION_NOT_RUN, HeadSent: j.head != nil,
 		RetryAfter: j.retryAfter(), Detail: j.lastRefusal.GetDetail(),
 	}
 	if out.Code == "" {
 		out.Code = encoder.CodeDeadlineExceeded
 	}
-	if j.unresolved || j.headSent {
+	if j.unresolved || j.head != nil {
 		out.Execution = encoder.Execution_EXECUTION_UNKNOWN
 	}
 	if j.unresolved && !j.Idempotent {
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -113,8 +113,8 @@
 	complete bool
 }
 
-func (s *sink) SendHead(status int, _ []*encoder.Header, _ bool) error {
-	s.status = status
+func (s *sink) SendHead(head *encoder.Head) error {
+	s.status = int(head.GetStatus())
 	return nil
 }
 
@@ -131,7 +131,8 @@
 }
 
 func sendHead(st *connector.Stream, req *encoder.RunRequest) {
-	send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: &encoder.Head{Status: 200}}})
+	head := &encoder.Head{Status: 200, Headers: []*encoder.Header{{Name: "Content-Type", Value: typeStream}}}
+	send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: head}})
 }
 
 func sendChunk(st *connector.Stream, req *encoder.RunRequest, offset uint64, data string) {
@@ -347,3 +348,84 @@
 		})
 	}
 }
+
+// answerWithType answers with a content type, and breaks off before the end unless
+// whole is set.
+func answerWithType(contentType, text string, whole bool) script {
+	return func(req *encoder.RunRequest, st *connector.Stream) {
+		head := &encoder.Head{Status: 200, Headers: []*encoder.Header{{Name: "Content-Type", Value: contentType}}}
+		send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: head}})
+		offset := uint64(len(req.GetResumePrefix()))
+		sendChunk(st, req, offset, text)
+		if whole {
+			sendEnd(st, req, offset+uint64(len(text)), text)
+		}
+	}
+}
+
+const (
+	typeStream = "text/event-stream"
+	typeJSON   = "application/json"
+)
+
+// An engine that repeats a whole JSON answer would append it to the part sent before.
+func TestBrokenJSONAnswerIsNotResumed(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c, 2, answerWithType(typeJSON, `{"a":`, false), answerWithType(typeJSON, `{"a":1}`, true))
+	s := &sink{}
+	out, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+	c.Assert(out.HeadSent, qt.IsTrue)
+	c.Assert(s.complete, qt.IsFalse)
+	c.Assert(s.String(), qt.Equals, `{"a":`)
+}
+
+// A resumed attempt with the same status may answer with an error document.
+func TestResumedAnswerOfOtherTypeIsNotAppended(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c, 2, answerWithType(typeStream, "data: 1\n\n", false), answerWithType(typeJSON, `{"error":"busy"}`, true))
+	s := &sink{}
+	_, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+	c.Assert(s.complete, qt.IsFalse)
+	c.Assert(s.String(), qt.Equals, "data: 1\n\n")
+}
+
+// The incident: the failure of a second server must not become part of an answer.
+func TestFailureOfResumedAttemptIsNotAppended(t *testing.T) {
+	c := qt.New(t)
+	failure := func(req *encoder.RunRequest, st *connector.Stream) {
+		head := &encoder.Head{Status: 500, Headers: []*encoder.Header{{Name: "Content-Type", Value: typeStream}}}
+		send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: head}})
+		offset := uint64(len(req.GetResumePrefix()))
+		sendChunk(st, req, offset, "failed")
+		sendEnd(st, req, offset+6, "failed")
+	}
+	f := newFixture(c, 2, answerWithType(typeStream, "data: 1\n\n", false), failure)
+	s := &sink{}
+	out, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+	c.Assert(out.HeadSent, qt.IsTrue)
+	c.Assert(s.complete, qt.IsFalse)
+	c.Assert(s.String(), qt.Equals, "data: 1\n\n")
+}
+
+// Headers that the caller has belong to the answer of the first attempt.
+func TestHeadOfOtherAnswerIsNotContinued(t *testing.T) {
+	c := qt.New(t)
+	withTag := func(tag string, whole bool) script {
+		return func(req *encoder.RunRequest, st *connector.Stream) {
+			head := &encoder.Head{Status: 200, Headers: []*encoder.Header{{Name: "Etag", Value: tag}}}
+			send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: head}})
+			if whole {
+				sendChunk(st, req, 0, tag)
+				sendEnd(st, req, uint64(len(tag)), tag)
+			}
+		}
+	}
+	f := newFixture(c, 2, withTag("first", false), withTag("second", true))
+	s := &sink{}
+	_, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+	c.Assert(s.complete, qt.IsFalse)
+}
--- a/internal/entry/server/response.go
+++ b/internal/entry/server/response.go
@@ -68,21 +68,20 @@
 }
 
 // SendHead implements dispatcher.Sink.
-func (r *response) SendHead(status int, headers []*encoder.Header, replayed bool) error {
+func (r *response) SendHead(head *encoder.Head) error {
 	if err := r.resetOnClose(); err != nil {
 		return err
 	}
-	for _, h := range headers {
-		if h.GetName() == "X-Attempt-Id" {
-			continue
+	for _, h := range head.GetHeaders() {
+		if h.GetName() != encoder.HeaderAttemptID {
+			r.w.Header().Set(h.GetName(), h.GetValue())
 		}
-		r.w.Header().Set(h.GetName(), h.GetValue())
-		r.stream = r.stream || h.GetName() == "Content-Type" && h.GetValue() == "text/event-stream"
 	}
-	if replayed {
+	r.stream = head.IsEventStream()
+	if head.GetReplayed() {
 		r.w.Header().Set(headerReplayed, "true")
 	}
-	r.w.WriteHeader(status)
+	r.w.WriteHeader(int(head.GetStatus()))
 	return nil
 }
 
--- /dev/null
+++ b/internal/wire/encoder/head.go
@@ -0,0 +1,38 @@
+package encoder
+
+import "maps"
+
+// HeaderAttemptID carries the ID of an attempt to a backend server and back. It is not
+// sent to callers.
+const HeaderAttemptID = "X-Attempt-Id"
+
+const (
+	headerContentType = "Content-Type"
+	typeEventStream   = "text/event-stream"
+)
+
+// IsEventStream reports whether the answer is a stream of server-sent events.
+func (h *Head) IsEventStream() bool {
+	for _, header := range h.GetHeaders() {
+		if header.GetName() == headerContentType {
+			return header.GetValue() == typeEventStream
+		}
+	}
+	return false
+}
+
+// IsSameAs reports whether two heads are the same for a caller.
+func (h *Head) IsSameAs(other *Head) bool {
+	return h.GetStatus() == other.GetStatus() && maps.Equal(h.forCaller(), other.forCaller())
+}
+
+// forCaller returns the headers that are sent to callers, by name.
+func (h *Head) forCaller() map[string]string {
+	headers := make(map[string]string, len(h.GetHeaders()))
+	for _, header := range h.GetHeaders() {
+		if header.GetName() != HeaderAttemptID {
+			headers[header.GetName()] = header.GetValue()
+		}
+	}
+	return headers
+}
