Entry: make no free retry after a head that cannot be resumed

What callers would see: when an attempt of a non-idempotent request ended with leaving, configuration_behind, configuration_stale or generation_closed after its head, the request was sent to a second server, and the data of both became one complete answer.

Cause: the retries that aren't charged to the budget did not check whether the caller already has a part of the answer, as the charged ones do. Agents refuse with these codes before their head, so only a broken agent causes it. Within a resumed stream, a newer configuration could also change the kind of the service to one that can't resume.

Evidence: before the change TestRefusalAfterHeadIsNotRetriedUnlessResumable failed for these four codes with: completed with "partwhole". The case busy, which is a charged retry, passed.

Change: free retries go through retryOrRefuse, too.

--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -288,16 +288,16 @@
 func (j *job) handleError(ctx context.Context, target *tracker.Target, err error) nextAction {
 	j.Trace.Add("attempt", "%s broke off: %v", target.Name, err)
 	j.lastRefusal = &encoder.Refusal{Code: encoder.CodeAnswerBroken, Step: "receive_answer", Detail: "the connection to the backend server broke"}
-	return j.retryOrRefuse(ctx)
+	return j.retryOrRefuse(ctx, &retry{})
 }
 
-// retryOrRefuse retries unless the caller has a partial answer that cannot be
-// resumed.
-func (j *job) retryOrRefuse(ctx context.Context) nextAction {
+// retryOrRefuse makes the retry next unless the caller has a partial answer that
+// cannot be resumed.
+func (j *job) retryOrRefuse(ctx context.Context, next *retry) nextAction {
 	if j.head != nil && (!j.Idempotent || !j.canResume()) {
 		return &finished{j.refuse(ctx, j.lastRefusal.GetCode(), j.lastRefusal.GetStep())}
 	}
-	return &retry{}
+	return next
 }
 
 // canResume reports whether another attempt can continue after the data that
@@ -319,9 +319,9 @@
 	case encoder.CodeConfigBehind:
 		j.onBehind(target)
 		j.undoAttempt()
-		return &retry{free: true}
+		return j.retryOrRefuse(ctx, &retry{free: true})
 	case encoder.CodeGenerationClosed:
-		return j.handleClosedGeneration(r)
+		return j.handleClosedGeneration(ctx, r)
 	case encoder.CodeKeyReused, encoder.CodeCulprit:
 		return &finished{j.refuse(ctx, r.GetCode(), r.GetStep())}
 	case encoder.CodeOutcomeUnknown:
@@ -330,12 +330,12 @@
 		j.markSuspect(target)
 	case encoder.CodeLeaving:
 		target.SetAvailable(false)
-		return &retry{free: true}
+		return j.retryOrRefuse(ctx, &retry{free: true})
 	}
 	if !j.Idempotent && r.GetExecution() != encoder.Execution_EXECUTION_NOT_RUN {
 		return &finished{j.refuse(ctx, r.GetCode(), r.GetStep())}
 	}
-	return j.retryOrRefuse(ctx)
+	return j.retryOrRefuse(ctx, &retry{})
 }
 
 // undoAttempt makes the target of the last attempt eligible again and does not
@@ -357,16 +357,16 @@
 	j.Service = svc
 	j.ConfigNumber = snap.GetNumber(registrar.Ref{Kind: registrar.KindService, Name: svc.Name})
 	j.undoAttempt()
-	return &retry{free: true}
+	return j.retryOrRefuse(ctx, &retry{free: true})
 }
 
 // handleClosedGeneration retries with the next generation of the key. Earlier
 // attempts of this request carry the closed generation and can no longer run.
-func (j *job) handleClosedGeneration(r *encoder.Refusal) nextAction {
+func (j *job) handleClosedGeneration(ctx context.Context, r *encoder.Refusal) nextAction {
 	j.generation = max(j.generation, r.GetClosedGeneration()) + 1
 	j.unresolved = false
 	j.undoAttempt()
-	return &retry{free: true}
+	return j.retryOrRefuse(ctx, &retry{free: true})
 }
 
 func (j *job) newOutcomeUnknown(r *encoder.Refusal) *Refused {
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -429,3 +429,40 @@
 	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
 	c.Assert(s.complete, qt.IsFalse)
 }
+
+// A refusal that comes after the head must not lead to a second run of the request.
+func TestRefusalAfterHeadIsNotRetriedUnlessResumable(t *testing.T) {
+	c := qt.New(t)
+	for _, code := range []string{encoder.CodeLeaving, encoder.CodeConfigBehind, encoder.CodeConfigStale, encoder.CodeGenerationClosed, encoder.CodeBusy} {
+		c.Run(code, func(c *qt.C) {
+			begun := func(req *encoder.RunRequest, st *connector.Stream) {
+				sendHead(st, req)
+				sendChunk(st, req, 0, "part")
+				refuse(code, encoder.Execution_EXECUTION_NOT_RUN)(req, st)
+			}
+			f := newFixture(c, 2, begun, answerWithType(typeStream, "whole", true))
+			f.activeConfig.Apply(newService(c, registrar.ServiceModel))
+			s := &sink{}
+			req := newRequest(false)
+			out, ok := f.Do(c.Context(), req, s).(*Refused)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+			c.Assert(out.HeadSent, qt.IsTrue)
+			c.Assert(out.Execution, qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
+			c.Assert(f.received, qt.HasLen, 1)
+			c.Assert(s.String(), qt.Equals, "part")
+		})
+	}
+}
+
+// newService returns the configuration of a service whose POST requests to the test's
+// path are not idempotent.
+func newService(c *qt.C, kind registrar.ServiceKind) []*encoder.Entity {
+	svc := &registrar.Service{
+		Name: "svc", Kind: kind, MaxAttempts: 4, RetryBudget: 1, Retention: time.Hour,
+		Routes: []registrar.Route{{Methods: []string{"POST"}, PathPrefix: "/", Idempotent: false}},
+	}
+	ticket := &registrar.Ticket{Number: 2, Services: []*registrar.Service{svc}}
+	entities, err := ticket.Entities()
+	c.Assert(err, qt.IsNil)
+	return entities
+}
