Entry: never report a request as not run once its answer has begun

What callers would see: the error event after a part of an answer to a non-idempotent request said not_run, if the request's row was missing in the table.

Cause: the refusal took the closing of the key as proof, although the caller's part of the answer shows that the request ran. Rows expire, and a broken agent may not write one.

Evidence: before the change TestPartOfAnswerIsNotReportedAsNotRun failed with got: EXECUTION_NOT_RUN, want: EXECUTION_UNKNOWN.

Change: after a head the execution is unknown, and the key isn't closed.

Measured: go test -race -count=1 -p 2 of entry/dispatcher passes, golangci-lint has no issues.

--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -300,7 +300,8 @@
 }
 
 // refuse returns a refusal whose execution state covers all attempts together.
-// It closes the key of a non-idempotent request that may still run.
+// It closes the key of a non-idempotent request that may still run; one whose answer
+// has begun has run.
 func (j *job) refuse(ctx context.Context, code, step string) Outcome {
 	out := &Refused{
 		Code: code, Step: step, Execution: encoder.Execution_EXECUTION_NOT_RUN, HeadSent: j.head != nil,
@@ -309,11 +310,13 @@
 	if out.Code == "" {
 		out.Code = encoder.CodeDeadlineExceeded
 	}
-	if j.unresolved || j.head != nil {
+	switch {
+	case j.head != nil:
 		out.Execution = encoder.Execution_EXECUTION_UNKNOWN
-	}
-	if j.unresolved && !j.Idempotent {
+	case j.unresolved && !j.Idempotent:
 		out.Execution = j.closeKey(ctx)
+	case j.unresolved:
+		out.Execution = encoder.Execution_EXECUTION_UNKNOWN
 	}
 	j.Trace.Add("refuse", "%s at %s, execution %s", out.Code, out.Step, ExecutionName(out.Execution))
 	return out
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -466,3 +466,12 @@
 	c.Assert(err, qt.IsNil)
 	return entities
 }
+
+// A part of the answer shows that the request ran, whatever the table says.
+func TestPartOfAnswerIsNotReportedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c, 1, answerWithType(typeJSON, "part", false))
+	out, ok := f.Do(t.Context(), newRequest(false), &sink{}).(*Refused)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(out.Execution, qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
+}
