Agent: recognise event streams by media type, not by the whole header

What callers saw: a stream with Content-Type "text/event-stream; charset=utf-8" was taken for a plain body. One that its engine ended early, but regularly, was completed without its end marker; at the entry its events weren't flushed as they arrived.

Cause: the header was compared as a whole with "text/event-stream" by the driver and by the response to the caller.

Evidence: before the change TestStreamWithCharsetAndNoEndMarkerIsNotCompleted failed with: completed with "data: 1\n\n", got "", want "answer_broken".

Change: encoder.IsEventStream compares the media type; the driver, the dispatcher and the response use it.

--- a/internal/agent/driver/driver.go
+++ b/internal/agent/driver/driver.go
@@ -134,7 +134,7 @@
 			a.Headers = append(a.Headers, &encoder.Header{Name: name, Value: v})
 		}
 	}
-	a.Stream = resp.Header.Get("Content-Type") == "text/event-stream"
+	a.Stream = encoder.IsEventStream(resp.Header.Get("Content-Type"))
 	return a
 }
 
--- /dev/null
+++ b/internal/agent/server/answer_test.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinfall/internal/wire/encoder"
+)
+
+const healthReply = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"boot\":\"1\"}"
+
+// newRawAgent starts an agent whose backend server writes answer to the connection and
+// closes it.
+func newRawAgent(c *qt.C, answer string) *testAgent {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		c.Check(err, qt.IsNil)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		reply := answer
+		if r.URL.Path == "/health" {
+			reply = healthReply
+		}
+		_, _ = io.WriteString(conn, reply)
+	}))
+	c.Cleanup(backend.Close)
+	return startTestAgent(c, netip.MustParseAddrPort(backend.Listener.Addr().String()))
+}
+
+const (
+	typeStream  = "text/event-stream"
+	firstEvent  = "data: 1\n\n"
+	markerEvent = "data: [DONE]\n\n"
+)
+
+// withLength returns an answer whose body ends by its length.
+func withLength(contentType, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", contentType, len(body), body)
+}
+
+// An engine that stops early may end its answer regularly, whatever the parameters of
+// its content type.
+func TestStreamWithCharsetAndNoEndMarkerIsNotCompleted(t *testing.T) {
+	c := qt.New(t)
+	ta := newRawAgent(c, withLength(typeStream+"; charset=utf-8", firstEvent))
+	last, data := ta.run(c, newRun("a.1", true))
+	c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeAnswerBroken, qt.Commentf("completed with %q", data))
+	c.Assert(data, qt.Equals, firstEvent)
+}
--- a/internal/agent/server/server_test.go
+++ b/internal/agent/server/server_test.go
@@ -42,14 +42,21 @@
 }
 
 func newTestAgent(c *qt.C) *testAgent {
-	ctx, cancel := context.WithCancel(context.Background())
-	ta := &testAgent{keeper: keeper.New(), streams: make(chan *connector.Stream, 1)}
-	platform := httptest.NewServer(ta.keeper.Handler())
 	backend, err := responder.NewServer(netip.MustParseAddrPort("127.0.0.1:0"))
 	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = backend.Close() })
+	ta := startTestAgent(c, backend.Addr())
 	ta.backend = backend
+	return ta
+}
+
+// startTestAgent starts an agent of the backend server at addr.
+func startTestAgent(c *qt.C, addr netip.AddrPort) *testAgent {
+	ctx, cancel := context.WithCancel(context.Background())
+	ta := &testAgent{keeper: keeper.New(), streams: make(chan *connector.Stream, 1)}
+	platform := httptest.NewServer(ta.keeper.Handler())
 	cfg := loader.NewSettings()
-	cfg.Instance, cfg.Agent.Service, cfg.Agent.Backend = "agent", "svc", backend.Addr()
+	cfg.Instance, cfg.Agent.Service, cfg.Agent.Backend = "agent", "svc", addr
 	client := storer.NewClient(netip.MustParseAddrPort(platform.Listener.Addr().String()), storer.WithTimeout(time.Second))
 	ta.Server = New(ctx, cfg, 1, client, nil)
 	ta.activeConfig.Apply(newService(c, 5))
@@ -71,7 +78,7 @@
 		_ = a.Serve(ctx, ln)
 	}()
 	ta.pool = connector.NewPool(&encoder.Hello{Version: encoder.Version, Instance: "entry"})
-	c.Cleanup(func() { ta.pool.Close(); cancel(); <-done; _ = backend.Close(); platform.Close() })
+	c.Cleanup(func() { ta.pool.Close(); cancel(); <-done; platform.Close() })
 	return ta
 }
 
--- a/internal/wire/encoder/head.go
+++ b/internal/wire/encoder/head.go
@@ -1,6 +1,9 @@
 package encoder
 
-import "maps"
+import (
+	"maps"
+	"mime"
+)
 
 // HeaderAttemptID carries the ID of an attempt to a backend server and back. It is not
 // sent to callers.
@@ -15,12 +18,19 @@
 func (h *Head) IsEventStream() bool {
 	for _, header := range h.GetHeaders() {
 		if header.GetName() == headerContentType {
-			return header.GetValue() == typeEventStream
+			return IsEventStream(header.GetValue())
 		}
 	}
 	return false
 }
 
+// IsEventStream reports whether a Content-Type is that of server-sent events, with any
+// parameters.
+func IsEventStream(contentType string) bool {
+	mediaType, _, _ := mime.ParseMediaType(contentType)
+	return mediaType == typeEventStream
+}
+
 // IsSameAs reports whether two heads are the same for a caller.
 func (h *Head) IsSameAs(other *Head) bool {
 	return h.GetStatus() == other.GetStatus() && maps.Equal(h.forCaller(), other.forCaller())
