Agent: keep an event whole whose line has the size of the read buffer

What callers would see: an event with a line of exactly 32768 bytes was forwarded up to the end of that line. If the engine broke then, the stream was resumed in the middle of the event, and the two halves of different events became one.

Cause: a line that fills the buffer is returned without its line end. The next read returned just the line end, which was taken for the blank line that ends an event.

Evidence: before the change TestEventWithLineOfBufferSizeIsNotSplit failed with: chunk ends with "xxxxxxx\n".

Change: a line is blank if all of it is, from its start in the collected events.

Measured: go test -race -count=1 -p 2 of agent/... passes, golangci-lint has no issues.

--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -131,10 +131,12 @@
 func (a *attempt) copyEvents(r *bufio.Reader) error {
 	var events []byte
 	done := false
-	lastStart := 0
+	// lastStart and lineStart are the positions of the current event and of its
+	// current line.
+	lastStart, lineStart := 0, 0
 	for {
-		line, err := r.ReadSlice('\n')
-		events = append(events, line...)
+		part, err := r.ReadSlice('\n')
+		events = append(events, part...)
 		if len(events) > maxEventBytes {
 			return errTooLarge
 		}
@@ -147,14 +149,16 @@
 		if err != nil {
 			return err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		isBlank := len(bytes.TrimRight(events[lineStart:], "\r\n")) == 0
+		lineStart = len(events)
+		if !isBlank {
 			continue
 		}
 		done = bytes.HasPrefix(events[lastStart:], []byte(doneEvent))
 		lastStart = len(events)
 		if r.Buffered() == 0 || done || len(events) >= chunkSize {
 			a.sendChunk(events, done)
-			events, lastStart = events[:0], 0
+			events, lastStart, lineStart = events[:0], 0, 0
 		}
 	}
 }
--- a/internal/agent/server/answer_test.go
+++ b/internal/agent/server/answer_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -56,3 +57,25 @@
 	c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeAnswerBroken, qt.Commentf("completed with %q", data))
 	c.Assert(data, qt.Equals, firstEvent)
 }
+
+// A line as long as the read buffer is followed by its own line end, not by a blank line.
+func TestEventWithLineOfBufferSizeIsNotSplit(t *testing.T) {
+	c := qt.New(t)
+	const field = "data: "
+	long := field + strings.Repeat("x", chunkSize-len(field)) + "\nid: 1\n\n"
+	ta := newRawAgent(c, withLength(typeStream, long+firstEvent+markerEvent))
+	st := ta.open(c, newRun("a.1", true))
+	var data string
+	for {
+		ev := &encoder.RunEvent{}
+		c.Assert(st.Receive(ev), qt.IsNil)
+		if ev.GetEnd() != nil {
+			break
+		}
+		if chunk := ev.GetChunk(); chunk != nil {
+			data += string(chunk.GetData())
+			c.Assert(strings.HasSuffix(data, "\n\n"), qt.IsTrue, qt.Commentf("chunk ends with %q", data[len(data)-8:]))
+		}
+	}
+	c.Assert(data, qt.Equals, long+firstEvent+markerEvent)
+}
