Agent: complete a stream only if its end marker is the last of it

What callers would see: a stream with a truncated event, a second marker or more data lines after "data: [DONE]" was completed. One with another event after the marker, or whose connection broke after it, had the marker sent to the caller and then broke off; the resumed attempt added a second marker. A blank line after the marker, which is harmless, made the attempt fail.

Cause: the marker was a flag of the latest event, compared by its first bytes, and the event was forwarded before the end of the engine's answer was seen.

Change: the event with the marker is held until the engine's answer has ended regularly, and only blank lines may come in between. Otherwise the attempt counts as broken off, and the caller has no marker yet.

--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -31,7 +31,9 @@
 
 var (
 	errTruncated = errors.New("stream ended without its end marker")
-	errTooLarge  = errors.New("answer is too large")
+	// errDataAfterEnd is returned for a stream that continues after its end marker.
+	errDataAfterEnd = errors.New("stream continues after its end marker")
+	errTooLarge     = errors.New("answer is too large")
 )
 
 // send writes an event after the buffered ones. The last event of an attempt also
@@ -130,44 +132,52 @@
 // in one frame. A stream without the end marker is an error.
 func (a *attempt) copyEvents(r *bufio.Reader) error {
 	var events []byte
-	done := false
 	// lastStart and lineStart are the positions of the current event and of its
 	// current line.
 	lastStart, lineStart := 0, 0
 	for {
 		part, err := r.ReadSlice('\n')
 		events = append(events, part...)
-		if len(events) > maxEventBytes {
+		switch {
+		case len(events) > maxEventBytes:
 			return errTooLarge
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		}
-		if errors.Is(err, io.EOF) {
-			return checkStreamEnd(done)
-		}
-		if err != nil {
+		case errors.Is(err, io.EOF):
+			return errTruncated
+		case err != nil:
 			return err
 		}
-		isBlank := len(bytes.TrimRight(events[lineStart:], "\r\n")) == 0
+		isBlank := len(trimLineEnds(events[lineStart:])) == 0
 		lineStart = len(events)
 		if !isBlank {
 			continue
 		}
-		done = bytes.HasPrefix(events[lastStart:], []byte(doneEvent))
+		if marker := trimLineEnds(events[lastStart:]); bytes.HasPrefix(marker, []byte(doneEvent)) {
+			return a.sendLastEvents(r, events, marker)
+		}
 		lastStart = len(events)
-		if r.Buffered() == 0 || done || len(events) >= chunkSize {
-			a.sendChunk(events, done)
+		if r.Buffered() == 0 || len(events) >= chunkSize {
+			a.sendChunk(events, false)
 			events, lastStart, lineStart = events[:0], 0, 0
 		}
 	}
 }
 
-func checkStreamEnd(done bool) error {
-	if done {
-		return nil
+func trimLineEnds(data []byte) []byte { return bytes.Trim(data, "\r\n") }
+
+// sendLastEvents sends the events up to the end marker once the answer has ended. Only
+// blank lines may follow the marker, in its event and after it.
+func (a *attempt) sendLastEvents(r io.Reader, events, marker []byte) error {
+	rest, err := io.ReadAll(io.LimitReader(r, chunkSize))
+	if err != nil {
+		return err
+	}
+	if len(marker) > len(doneEvent) || len(trimLineEnds(rest)) > 0 || len(rest) == chunkSize {
+		return errDataAfterEnd
 	}
-	return errTruncated
+	a.sendChunk(append(events, rest...), true)
+	return nil
 }
 
 func readBounded(r io.Reader) ([]byte, error) {
--- a/internal/agent/server/answer_test.go
+++ b/internal/agent/server/answer_test.go
@@ -79,3 +79,45 @@
 	}
 	c.Assert(data, qt.Equals, long+firstEvent+markerEvent)
 }
+
+// withoutLastChunk returns an answer whose connection breaks before its final chunk.
+func withoutLastChunk(contentType, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", contentType, len(body), body)
+}
+
+// What follows the end marker belongs to no answer or to another one.
+func TestStreamThatContinuesAfterItsEndMarkerIsNotCompleted(t *testing.T) {
+	c := qt.New(t)
+	for name, answer := range map[string]string{
+		"event":             withLength(typeStream, firstEvent+markerEvent+firstEvent),
+		"second marker":     withLength(typeStream, firstEvent+markerEvent+markerEvent),
+		"truncated event":   withLength(typeStream, firstEvent+markerEvent+"data: 2"),
+		"marker with more":  withLength(typeStream, firstEvent+"data: [DONE]\ndata: 2\n\n"),
+		"marker in a value": withLength(typeStream, firstEvent+"data: [DONE]2\n\n"),
+		"broken connection": withoutLastChunk(typeStream, firstEvent+markerEvent),
+	} {
+		c.Run(name, func(c *qt.C) {
+			last, data := newRawAgent(c, answer).run(c, newRun("a.1", true))
+			c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeAnswerBroken, qt.Commentf("completed with %q", data))
+			// A marker in an answer that is resumed would end it twice.
+			c.Assert(data, qt.Not(qt.Contains), "[DONE]")
+		})
+	}
+}
+
+// Blank lines end no event, so they add nothing to a stream.
+func TestStreamWithBlankLinesAfterItsEndMarkerIsCompleted(t *testing.T) {
+	c := qt.New(t)
+	for name, body := range map[string]string{
+		"none":        firstEvent + markerEvent,
+		"blank line":  firstEvent + markerEvent + "\n",
+		"blank lines": firstEvent + markerEvent + "\r\n\r\n",
+		"CRLF":        firstEvent + "data: [DONE]\r\n\r\n",
+	} {
+		c.Run(name, func(c *qt.C) {
+			last, data := newRawAgent(c, withLength(typeStream, body)).run(c, newRun("a.1", true))
+			c.Assert(last.GetEnd(), qt.IsNotNil, qt.Commentf("%v", last))
+			c.Assert(data, qt.Equals, body)
+		})
+	}
+}
