Agent: record no stream without its end marker

What callers would see: the answer to a non-idempotent request that is an event stream was read to its regular end only. One that its engine ended early was sent as complete, recorded, and replayed as complete to each resend with the same key.

Cause: the end marker was checked where answers are forwarded as they arrive, not where they are read whole before they are recorded.

Evidence: before the change TestTruncatedStreamIsNotRecorded failed with: completed with "data: 1\n\n", got "", want "answer_broken".

Change: readAnswer checks a stream with the function that forwards the others. The outcome of such a run is unknown, as of any run whose answer broke off.

--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -110,7 +110,7 @@
 // copyBody forwards the answer as it arrives. A stream is forwarded in whole events.
 func (a *attempt) copyBody(answer *driver.Answer) error {
 	if answer.Stream {
-		return a.copyEvents(bufio.NewReaderSize(answer.Body, chunkSize))
+		return copyEvents(bufio.NewReaderSize(answer.Body, chunkSize), a.sendChunk)
 	}
 	buf := make([]byte, chunkSize)
 	for total := int64(0); ; {
@@ -128,9 +128,9 @@
 	}
 }
 
-// copyEvents forwards server-sent events. Events that have arrived together are sent
-// in one frame. A stream without the end marker is an error.
-func (a *attempt) copyEvents(r *bufio.Reader) error {
+// copyEvents calls send with whole server-sent events, together with others that have
+// arrived; more is set for the last ones. A stream without the end marker is an error.
+func copyEvents(r *bufio.Reader, send func(events []byte, more bool)) error {
 	var events []byte
 	// lastStart and lineStart are the positions of the current event and of its
 	// current line.
@@ -154,11 +154,11 @@
 			continue
 		}
 		if marker := trimLineEnds(events[lastStart:]); bytes.HasPrefix(marker, []byte(doneEvent)) {
-			return a.sendLastEvents(r, events, marker)
+			return copyLastEvents(r, events, marker, send)
 		}
 		lastStart = len(events)
 		if r.Buffered() == 0 || len(events) >= chunkSize {
-			a.sendChunk(events, false)
+			send(events, false)
 			events, lastStart, lineStart = events[:0], 0, 0
 		}
 	}
@@ -166,9 +166,9 @@
 
 func trimLineEnds(data []byte) []byte { return bytes.Trim(data, "\r\n") }
 
-// sendLastEvents sends the events up to the end marker once the answer has ended. Only
+// copyLastEvents sends the events up to the end marker once the answer has ended. Only
 // blank lines may follow the marker, in its event and after it.
-func (a *attempt) sendLastEvents(r io.Reader, events, marker []byte) error {
+func copyLastEvents(r io.Reader, events, marker []byte, send func(events []byte, more bool)) error {
 	rest, err := io.ReadAll(io.LimitReader(r, chunkSize))
 	if err != nil {
 		return err
@@ -176,10 +176,19 @@
 	if len(marker) > len(doneEvent) || len(trimLineEnds(rest)) > 0 || len(rest) == chunkSize {
 		return errDataAfterEnd
 	}
-	a.sendChunk(append(events, rest...), true)
+	send(append(events, rest...), true)
 	return nil
 }
 
+// readAnswer reads a complete answer to a non-idempotent request.
+func readAnswer(answer *driver.Answer) ([]byte, error) {
+	body, err := readBounded(answer.Body)
+	if err != nil || !answer.Stream {
+		return body, err
+	}
+	return body, copyEvents(bufio.NewReader(bytes.NewReader(body)), func([]byte, bool) {})
+}
+
 func readBounded(r io.Reader) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
 	if err != nil {
--- a/internal/agent/server/answer_test.go
+++ b/internal/agent/server/answer_test.go
@@ -121,3 +121,16 @@
 		})
 	}
 }
+
+// A recorded answer is replayed, so a part of a stream must not be recorded.
+func TestTruncatedStreamIsNotRecorded(t *testing.T) {
+	c := qt.New(t)
+	ta := newRawAgent(c, withLength(typeStream, firstEvent))
+	last, data := ta.run(c, newRun("order", false))
+	c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeAnswerBroken, qt.Commentf("completed with %q", data))
+	c.Assert(last.GetRefusal().GetExecution(), qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
+	resend := newRun("order", false)
+	resend.AttemptId = "resend"
+	last, _ = ta.run(c, resend)
+	c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeOutcomeUnknown)
+}
