--- a/internal/agent/server/answer_test.go
+++ b/internal/agent/server/answer_test.go
@@ -134,3 +134,51 @@
 	last, _ = ta.run(c, resend)
 	c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeOutcomeUnknown)
 }
+
+// withoutLength returns an answer whose body ends with the connection.
+func withoutLength(contentType, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\nConnection: close\r\n\r\n%s", contentType, body)
+}
+
+// The connection of a backend server that crashes ends as that of one that has answered.
+func TestBodyThatEndsWithItsConnectionIsNotCompleted(t *testing.T) {
+	c := qt.New(t)
+	for name, idempotent := range map[string]bool{"lookup": true, "order": false} {
+		c.Run(name, func(c *qt.C) {
+			ta := newRawAgent(c, withoutLength("application/json", `{"a":`))
+			last, data := ta.run(c, newRun(name, idempotent))
+			c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeAnswerBroken, qt.Commentf("completed with %q", data))
+			c.Assert(last.GetRefusal().GetExecution(), qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
+		})
+	}
+}
+
+// The end marker shows that a stream is whole, and a HEAD request has no body.
+func TestAnswerWithoutLengthThatIsWholeIsCompleted(t *testing.T) {
+	c := qt.New(t)
+	ta := newRawAgent(c, withoutLength(typeStream, firstEvent+markerEvent))
+	last, data := ta.run(c, newRun("stream", true))
+	c.Assert(last.GetEnd(), qt.IsNotNil, qt.Commentf("%v", last))
+	c.Assert(data, qt.Equals, firstEvent+markerEvent)
+	head := newRun("head", true)
+	head.Method = http.MethodHead
+	last, _ = newRawAgent(c, withoutLength("application/json", "")).run(c, head)
+	c.Assert(last.GetEnd(), qt.IsNotNil, qt.Commentf("%v", last))
+}
+
+// The transport of the driver checks the length of a body and its final chunk.
+func TestBodyShorterThanItsLengthIsNotCompleted(t *testing.T) {
+	c := qt.New(t)
+	answers := map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+		"chunks": withoutLastChunk("application/json", "part"),
+	}
+	for name, answer := range answers {
+		for kind, idempotent := range map[string]bool{"lookup": true, "order": false} {
+			c.Run(name+" "+kind, func(c *qt.C) {
+				last, _ := newRawAgent(c, answer).run(c, newRun(kind, idempotent))
+				c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeAnswerBroken)
+			})
+		}
+	}
+}
