Entry: send no error event where an answer has no body

What callers saw: a HEAD request, or an answer of status 204 or 304, whose content type is that of an event stream and whose attempt broke off after the head got that head as a whole answer.

Cause: before the abort, the error event of a stream was written and flushed. Without a body nothing of it is sent but the head, which is then all of the answer.

Evidence: before the change TestBrokenAnswerWithoutBodyIsNotSent failed for "head of stream" (200 OK) and "no content in stream" (204 No Content); the cases without that content type passed.

Change: an answer without a body is no stream.

Measured: go test -race -count=1 -p 2 of entry/... passes, golangci-lint has no issues.

--- a/internal/entry/server/callers_test.go
+++ b/internal/entry/server/callers_test.go
@@ -262,3 +262,28 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, "whole")
 }
+
+// Where an answer has no body, the head is all of it and must not be sent before the end.
+func TestBrokenAnswerWithoutBodyIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	for _, tc := range []struct {
+		name, method string
+		status       uint32
+		headers      []*encoder.Header
+	}{
+		{"head", http.MethodHead, http.StatusOK, nil},
+		{"head of stream", http.MethodHead, http.StatusOK, []*encoder.Header{eventStream}},
+		{"no content", http.MethodGet, http.StatusNoContent, nil},
+		{"no content in stream", http.MethodGet, http.StatusNoContent, []*encoder.Header{eventStream}},
+	} {
+		c.Run(tc.name, func(c *qt.C) {
+			e := newTestEntry(c, registrar.ServicePlain, func(req *encoder.RunRequest, st *connector.Stream) {
+				head := &encoder.Head{Status: tc.status, Headers: tc.headers}
+				_ = st.Send(&encoder.RunEvent{AttemptId: req.GetAttemptId(), Kind: &encoder.RunEvent_Head{Head: head}})
+			})
+			conn := e.send(c, tc.method+" /svc/x HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer "+testKey+"\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: tc.method})
+			c.Assert(err, qt.IsNotNil, qt.Commentf("%v", resp))
+		})
+	}
+}
--- a/internal/entry/server/response.go
+++ b/internal/entry/server/response.go
@@ -21,6 +21,8 @@
 	rc *http.ResponseController
 	// id is the request ID in answers to the caller.
 	id     string
+	method string
+	// stream is true only for an event stream with a body.
 	stream bool
 	// endsWithConn says that nothing but the end of the connection ends the answer.
 	endsWithConn bool
@@ -32,7 +34,9 @@
 
 func newResponse(w http.ResponseWriter, r *http.Request, id string) *response {
 	conn, _ := r.Context().Value(connKey{}).(lingerer)
-	return &response{w: w, rc: http.NewResponseController(w), id: id, endsWithConn: !r.ProtoAtLeast(1, 1), conn: conn}
+	return &response{
+		w: w, rc: http.NewResponseController(w), id: id, method: r.Method, endsWithConn: !r.ProtoAtLeast(1, 1), conn: conn,
+	}
 }
 
 // lingerer is the part of net.TCPConn that selects what closing the connection does.
@@ -77,7 +81,7 @@
 			r.w.Header().Set(h.GetName(), h.GetValue())
 		}
 	}
-	r.stream = head.IsEventStream()
+	r.stream = head.IsEventStream() && r.hasBody(int(head.GetStatus()))
 	if head.GetReplayed() {
 		r.w.Header().Set(headerReplayed, "true")
 	}
@@ -85,6 +89,11 @@
 	return nil
 }
 
+// hasBody reports whether an answer with a final status has a body.
+func (r *response) hasBody(status int) bool {
+	return r.method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // SendData implements dispatcher.Sink.
 func (r *response) SendData(data []byte) error {
 	if _, err := r.w.Write(data); err != nil {
