--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -31,7 +31,9 @@
 
 var (
 	errTruncated = errors.New("stream ended without its end marker")
-	errTooLarge  = errors.New("answer is too large")
+	// errDataAfterEnd is returned for a stream that continues after its end marker.
+	errDataAfterEnd = errors.New("stream continues after its end marker")
+	errTooLarge     = errors.New("answer is too large")
 )
 
 // send writes an event after the buffered ones. The last event of an attempt also
@@ -108,7 +110,7 @@
 // copyBody forwards the answer as it arrives. A stream is forwarded in whole events.
 func (a *attempt) copyBody(answer *driver.Answer) error {
 	if answer.Stream {
-		return a.copyEvents(bufio.NewReaderSize(answer.Body, chunkSize))
+		return copyEvents(bufio.NewReaderSize(answer.Body, chunkSize), a.sendChunk)
 	}
 	buf := make([]byte, chunkSize)
 	for total := int64(0); ; {
@@ -126,44 +128,65 @@
 	}
 }
 
-// copyEvents forwards server-sent events. Events that have arrived together are sent
-// in one frame. A stream without the end marker is an error.
-func (a *attempt) copyEvents(r *bufio.Reader) error {
+// copyEvents calls send with whole server-sent events, together with others that have
+// arrived; more is set for the last ones. A stream without the end marker is an error.
+func copyEvents(r *bufio.Reader, send func(events []byte, more bool)) error {
 	var events []byte
-	done := false
-	lastStart := 0
+	// lastStart and lineStart are the positions of the current event and of its
+	// current line.
+	lastStart, lineStart := 0, 0
 	for {
-		line, err := r.ReadSlice('\n')
-		events = append(events, line...)
-		if len(events) > maxEventBytes {
+		part, err := r.ReadSlice('\n')
+		events = append(events, part...)
+		switch {
+		case len(events) > maxEventBytes:
 			return errTooLarge
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		}
-		if errors.Is(err, io.EOF) {
-			return checkStreamEnd(done)
-		}
-		if err != nil {
+		case errors.Is(err, io.EOF):
+			return errTruncated
+		case err != nil:
 			return err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		isBlank := len(trimLineEnds(events[lineStart:])) == 0
+		lineStart = len(events)
+		if !isBlank {
 			continue
 		}
-		done = bytes.HasPrefix(events[lastStart:], []byte(doneEvent))
+		if marker := trimLineEnds(events[lastStart:]); bytes.HasPrefix(marker, []byte(doneEvent)) {
+			return copyLastEvents(r, events, marker, send)
+		}
 		lastStart = len(events)
-		if r.Buffered() == 0 || done || len(events) >= chunkSize {
-			a.sendChunk(events, done)
-			events, lastStart = events[:0], 0
+		if r.Buffered() == 0 || len(events) >= chunkSize {
+			send(events, false)
+			events, lastStart, lineStart = events[:0], 0, 0
 		}
 	}
 }
 
-func checkStreamEnd(done bool) error {
-	if done {
-		return nil
+func trimLineEnds(data []byte) []byte { return bytes.Trim(data, "\r\n") }
+
+// copyLastEvents sends the events up to the end marker once the answer has ended. Only
+// blank lines may follow the marker, in its event and after it.
+func copyLastEvents(r io.Reader, events, marker []byte, send func(events []byte, more bool)) error {
+	rest, err := io.ReadAll(io.LimitReader(r, chunkSize))
+	if err != nil {
+		return err
+	}
+	if len(marker) > len(doneEvent) || len(trimLineEnds(rest)) > 0 || len(rest) == chunkSize {
+		return errDataAfterEnd
+	}
+	send(append(events, rest...), true)
+	return nil
+}
+
+// readAnswer reads a complete answer to a non-idempotent request.
+func readAnswer(answer *driver.Answer) ([]byte, error) {
+	body, err := readBounded(answer.Body)
+	if err != nil || !answer.Stream {
+		return body, err
 	}
-	return errTruncated
+	return body, copyEvents(bufio.NewReader(bytes.NewReader(body)), func([]byte, bool) {})
 }
 
 func readBounded(r io.Reader) ([]byte, error) {
--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,6 +39,9 @@
 	errUnknownKind     = errors.New("event of unknown kind")
 	errCallerGone      = errors.New("caller has gone")
 	errHeadMismatch    = errors.New("answer differs from what the caller has")
+	errHeadMissing     = errors.New("answer without a head")
+	errSecondHead      = errors.New("second head in one answer")
+	errStatusNotFinal  = errors.New("status of the answer is not final")
 )
 
 var mismatchedEvents = metrics.NewCounter("siskinfall_crossed_events_total")
@@ -64,8 +68,9 @@
 	case refusal != nil:
 		return j.handleRefusal(ctx, target, refusal)
 	}
-	j.Trace.Add("complete", "status %d by %s", j.status, target.Name)
-	return &finished{&Completed{Status: j.status, FirstByte: j.firstByte}}
+	j.sink.Complete()
+	j.Trace.Add("complete", "status %d by %s", j.head.GetStatus(), target.Name)
+	return &finished{&Completed{Status: int(j.head.GetStatus()), FirstByte: j.firstByte}}
 }
 
 // cancelOnLoss cancels an attempt when the agent's heartbeats are missing or its
@@ -135,12 +140,17 @@
 	}
 }
 
+// maxStatus is the highest status that net/http can send.
+const maxStatus = 999
+
 // answerReceiver is the state of one attempt's answer as it arrives.
 type answerReceiver struct {
 	*job
 	req    *encoder.RunRequest
 	target *tracker.Target
 	peer   string
+	// headReceived says that the head has arrived; it comes once, before all data.
+	headReceived bool
 	// offset and sum are the length and the checksum of the forwarded data; offset
 	// also counts the resume prefix.
 	offset uint64
@@ -193,21 +203,43 @@
 func (r *answerReceiver) handleEvent(ev *encoder.RunEvent) (refusal *encoder.Refusal, done bool, err error) {
 	switch k := ev.GetKind().(type) {
 	case *encoder.RunEvent_Head:
-		return nil, false, r.forwardHead(k.Head)
+		return nil, false, r.handleHead(k.Head)
 	case *encoder.RunEvent_Chunk:
 		return nil, false, r.handleChunk(k.Chunk)
 	case *encoder.RunEvent_End:
-		complete := k.End.GetLength() == r.offset && k.End.GetChecksum() == r.sum.Sum64()
-		err := asserter.Holds(complete, asserter.RuleWholeAnswer, "attempt %s: %d of %d bytes", r.req.GetAttemptId(), r.offset, k.End.GetLength())
-		return nil, true, err
+		return nil, true, r.handleEnd(k.End)
 	case *encoder.RunEvent_Refusal:
 		return k.Refusal, true, nil
 	}
 	return nil, false, wrapper.At("receive_answer", r.peer, errUnknownKind)
 }
 
+// handleHead forwards the head. Only final statuses can be answered.
+func (r *answerReceiver) handleHead(h *encoder.Head) error {
+	switch {
+	case r.headReceived:
+		return wrapper.At("receive_answer", r.peer, errSecondHead)
+	case h.GetStatus() < http.StatusOK || h.GetStatus() > maxStatus:
+		return wrapper.At("receive_answer", r.peer, errStatusNotFinal)
+	}
+	r.headReceived = true
+	return r.forwardHead(h)
+}
+
+// handleEnd asserts that the data before the end is the whole answer.
+func (r *answerReceiver) handleEnd(e *encoder.End) error {
+	if !r.headReceived {
+		return wrapper.At("receive_answer", r.peer, errHeadMissing)
+	}
+	complete := e.GetLength() == r.offset && e.GetChecksum() == r.sum.Sum64()
+	return asserter.Holds(complete, asserter.RuleWholeAnswer, "attempt %s: %d of %d bytes", r.req.GetAttemptId(), r.offset, e.GetLength())
+}
+
 // handleChunk forwards data that directly follows the data before it.
 func (r *answerReceiver) handleChunk(c *encoder.Chunk) error {
+	if !r.headReceived {
+		return wrapper.At("receive_answer", r.peer, errHeadMissing)
+	}
 	if c.GetOffset() != r.offset {
 		return wrapper.At("receive_answer", r.peer, errOffsetMismatch)
 	}
@@ -216,24 +248,32 @@
 	return r.forwardData(c.GetData())
 }
 
-// forwardHead sends the head to the caller once; the status of a resumed answer
-// must equal the one already sent.
+// forwardHead sends the head to the caller once. The answer of a later attempt must
+// continue the one that the caller has.
 func (j *job) forwardHead(h *encoder.Head) error {
-	if j.headSent {
-		if int(h.GetStatus()) != j.status {
+	if j.head != nil {
+		if !j.continues(h) {
 			return errHeadMismatch
 		}
 		return nil
 	}
-	j.headSent = true
-	j.status = int(h.GetStatus())
+	j.head = h
 	j.firstByte = time.Since(j.start)
-	if err := j.sink.SendHead(j.status, h.GetHeaders(), h.GetReplayed()); err != nil {
+	if err := j.sink.SendHead(h); err != nil {
 		return errors.Join(errCallerGone, err)
 	}
 	return nil
 }
 
+// continues reports whether an answer with the head h can continue the one that the
+// caller has.
+func (j *job) continues(h *encoder.Head) bool {
+	if len(j.sent) == 0 {
+		return h.IsSameAs(j.head)
+	}
+	return h.GetStatus() == j.head.GetStatus() && h.IsEventStream()
+}
+
 func (j *job) forwardData(data []byte) error {
 	if j.resumable = j.resumable && j.Idempotent && len(j.sent)+len(data) <= maxResumeBytes; j.resumable {
 		j.sent = append(j.sent, data...)
@@ -248,22 +288,22 @@
 func (j *job) handleError(ctx context.Context, target *tracker.Target, err error) nextAction {
 	j.Trace.Add("attempt", "%s broke off: %v", target.Name, err)
 	j.lastRefusal = &encoder.Refusal{Code: encoder.CodeAnswerBroken, Step: "receive_answer", Detail: "the connection to the backend server broke"}
-	return j.retryOrRefuse(ctx)
+	return j.retryOrRefuse(ctx, &retry{})
 }
 
-// retryOrRefuse retries unless the caller has a partial answer that cannot be
-// resumed.
-func (j *job) retryOrRefuse(ctx context.Context) nextAction {
-	if j.headSent && (!j.Idempotent || !j.canResume()) {
+// retryOrRefuse makes the retry next unless the caller has a partial answer that
+// cannot be resumed.
+func (j *job) retryOrRefuse(ctx context.Context, next *retry) nextAction {
+	if j.head != nil && (!j.Idempotent || !j.canResume()) {
 		return &finished{j.refuse(ctx, j.lastRefusal.GetCode(), j.lastRefusal.GetStep())}
 	}
-	return &retry{}
+	return next
 }
 
 // canResume reports whether another attempt can continue after the data that
-// the caller has.
+// the caller has. Engines continue only event streams.
 func (j *job) canResume() bool {
-	return j.resumable && (len(j.sent) == 0 || j.Service.Kind == registrar.ServiceModel)
+	return j.resumable && (len(j.sent) == 0 || j.Service.Kind == registrar.ServiceModel && j.head.IsEventStream())
 }
 
 // handleRefusal decides what follows an agent's refusal.
@@ -279,9 +319,9 @@
 	case encoder.CodeConfigBehind:
 		j.onBehind(target)
 		j.undoAttempt()
-		return &retry{free: true}
+		return j.retryOrRefuse(ctx, &retry{free: true})
 	case encoder.CodeGenerationClosed:
-		return j.handleClosedGeneration(r)
+		return j.handleClosedGeneration(ctx, r)
 	case encoder.CodeKeyReused, encoder.CodeCulprit:
 		return &finished{j.refuse(ctx, r.GetCode(), r.GetStep())}
 	case encoder.CodeOutcomeUnknown:
@@ -290,12 +330,12 @@
 		j.markSuspect(target)
 	case encoder.CodeLeaving:
 		target.SetAvailable(false)
-		return &retry{free: true}
+		return j.retryOrRefuse(ctx, &retry{free: true})
 	}
 	if !j.Idempotent && r.GetExecution() != encoder.Execution_EXECUTION_NOT_RUN {
 		return &finished{j.refuse(ctx, r.GetCode(), r.GetStep())}
 	}
-	return j.retryOrRefuse(ctx)
+	return j.retryOrRefuse(ctx, &retry{})
 }
 
 // undoAttempt makes the target of the last attempt eligible again and does not
@@ -317,21 +357,21 @@
 	j.Service = svc
 	j.ConfigNumber = snap.GetNumber(registrar.Ref{Kind: registrar.KindService, Name: svc.Name})
 	j.undoAttempt()
-	return &retry{free: true}
+	return j.retryOrRefuse(ctx, &retry{free: true})
 }
 
 // handleClosedGeneration retries with the next generation of the key. Earlier
 // attempts of this request carry the closed generation and can no longer run.
-func (j *job) handleClosedGeneration(r *encoder.Refusal) nextAction {
+func (j *job) handleClosedGeneration(ctx context.Context, r *encoder.Refusal) nextAction {
 	j.generation = max(j.generation, r.GetClosedGeneration()) + 1
 	j.unresolved = false
 	j.undoAttempt()
-	return &retry{free: true}
+	return j.retryOrRefuse(ctx, &retry{free: true})
 }
 
 func (j *job) newOutcomeUnknown(r *encoder.Refusal) *Refused {
 	return &Refused{
-		Code: r.GetCode(), Step: r.GetStep(), Execution: encoder.Execution_EXECUTION_UNKNOWN, HeadSent: j.headSent,
+		Code: r.GetCode(), Step: r.GetStep(), Execution: encoder.Execution_EXECUTION_UNKNOWN, HeadSent: j.head != nil,
 		RetryAfter: minRetryAfter, Detail: "an earlier run of this key was handed over and its outcome was lost",
 	}
 }
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -49,8 +49,11 @@
 // Sink writes an answer to the caller. It is used by one goroutine.
 type Sink interface {
 	// SendHead is called once, before any data.
-	SendHead(status int, headers []*encoder.Header, replayed bool) error
+	SendHead(head *encoder.Head) error
 	SendData(data []byte) error
+	// Complete is called once, after the last data of a whole answer. An answer
+	// without this call is not whole and must not look so to the caller.
+	Complete()
 }
 
 // Outcome is the final result of a request for its caller.
@@ -145,9 +148,8 @@
 	// generation is the generation of the key that attempts carry. Once it is closed,
 	// none of them can run.
 	generation uint64
-	// headSent says that the caller has the head of the answer.
-	headSent  bool
-	status    int
+	// head is the head that the caller has, nil for none.
+	head      *encoder.Head
 	firstByte time.Duration
 	// sent is the data that the caller has, for resumption.
 	sent []byte
@@ -298,20 +300,23 @@
 }
 
 // refuse returns a refusal whose execution state covers all attempts together.
-// It closes the key of a non-idempotent request that may still run.
+// It closes the key of a non-idempotent request that may still run; one whose answer
+// has begun has run.
 func (j *job) refuse(ctx context.Context, code, step string) Outcome {
 	out := &Refused{
-		Code: code, Step: step, Execution: encoder.Execution_EXECUTION_NOT_RUN, HeadSent: j.headSent,
+		Code: code, Step: step, Execution: encoder.Execution_EXECUTION_NOT_RUN, HeadSent: j.head != nil,
 		RetryAfter: j.retryAfter(), Detail: j.lastRefusal.GetDetail(),
 	}
 	if out.Code == "" {
 		out.Code = encoder.CodeDeadlineExceeded
 	}
-	if j.unresolved || j.headSent {
+	switch {
+	case j.head != nil:
 		out.Execution = encoder.Execution_EXECUTION_UNKNOWN
-	}
-	if j.unresolved && !j.Idempotent {
+	case j.unresolved && !j.Idempotent:
 		out.Execution = j.closeKey(ctx)
+	case j.unresolved:
+		out.Execution = encoder.Execution_EXECUTION_UNKNOWN
 	}
 	j.Trace.Add("refuse", "%s at %s, execution %s", out.Code, out.Step, ExecutionName(out.Execution))
 	return out
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -109,11 +109,12 @@
 // sink collects an answer.
 type sink struct {
 	bytes.Buffer
-	status int
+	status   int
+	complete bool
 }
 
-func (s *sink) SendHead(status int, _ []*encoder.Header, _ bool) error {
-	s.status = status
+func (s *sink) SendHead(head *encoder.Head) error {
+	s.status = int(head.GetStatus())
 	return nil
 }
 
@@ -122,13 +123,16 @@
 	return err
 }
 
+func (s *sink) Complete() { s.complete = true }
+
 func send(st *connector.Stream, req *encoder.RunRequest, ev *encoder.RunEvent) {
 	ev.AttemptId = req.GetAttemptId()
 	_ = st.Send(ev)
 }
 
 func sendHead(st *connector.Stream, req *encoder.RunRequest) {
-	send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: &encoder.Head{Status: 200}}})
+	head := &encoder.Head{Status: 200, Headers: []*encoder.Header{{Name: "Content-Type", Value: typeStream}}}
+	send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: head}})
 }
 
 func sendChunk(st *connector.Stream, req *encoder.RunRequest, offset uint64, data string) {
@@ -236,8 +240,10 @@
 		sendEnd(st, req, 99, "part")
 	}
 	f := newFixture(c, 1, truncated)
-	out, ok := f.Do(t.Context(), newRequest(true), &sink{}).(*Refused)
+	s := &sink{}
+	out, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
 	c.Assert(ok, qt.IsTrue)
+	c.Assert(s.complete, qt.IsFalse)
 	c.Assert(out.HeadSent, qt.IsTrue)
 	c.Assert(out.Execution, qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
 }
@@ -253,6 +259,7 @@
 	_, ok := f.Do(t.Context(), newRequest(true), s).(*Completed)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(s.String(), qt.Equals, "one two")
+	c.Assert(s.complete, qt.IsTrue)
 	c.Assert(string(f.received[1].GetResumePrefix()), qt.Equals, "one ")
 }
 
@@ -298,3 +305,173 @@
 	}
 	c.Assert(len(f.received) <= requests+maxRetryBudget, qt.IsTrue, qt.Commentf("%d attempts", len(f.received)))
 }
+
+// Data or an end without a head would become an empty or implicit status 200.
+func TestAnswerWithoutHeadIsNotCompleted(t *testing.T) {
+	c := qt.New(t)
+	onlyEnd := func(req *encoder.RunRequest, st *connector.Stream) { sendEnd(st, req, 0, "") }
+	onlyData := func(req *encoder.RunRequest, st *connector.Stream) {
+		sendChunk(st, req, 0, "data")
+		sendEnd(st, req, 4, "data")
+	}
+	for name, answer := range map[string]script{"only end": onlyEnd, "only data": onlyData} {
+		c.Run(name, func(c *qt.C) {
+			f := newFixture(c, 1, answer)
+			s := &sink{}
+			out, ok := f.Do(c.Context(), newRequest(true), s).(*Refused)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(out.HeadSent, qt.IsFalse)
+			c.Assert(s.complete, qt.IsFalse)
+			c.Assert(s.Len(), qt.Equals, 0)
+		})
+	}
+}
+
+// A head is final and comes once: net/http takes a status below 200 for an interim one.
+func TestInterimOrSecondHeadIsNotForwarded(t *testing.T) {
+	c := qt.New(t)
+	withStatus := func(statuses ...uint32) script {
+		return func(req *encoder.RunRequest, st *connector.Stream) {
+			for _, status := range statuses {
+				send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: &encoder.Head{Status: status}}})
+			}
+			sendEnd(st, req, 0, "")
+		}
+	}
+	for name, answer := range map[string]script{"none": withStatus(0), "interim": withStatus(101), "second": withStatus(200, 200)} {
+		c.Run(name, func(c *qt.C) {
+			f := newFixture(c, 1, answer)
+			s := &sink{}
+			_, ok := f.Do(c.Context(), newRequest(true), s).(*Refused)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(s.complete, qt.IsFalse)
+		})
+	}
+}
+
+// answerWithType answers with a content type, and breaks off before the end unless
+// whole is set.
+func answerWithType(contentType, text string, whole bool) script {
+	return func(req *encoder.RunRequest, st *connector.Stream) {
+		head := &encoder.Head{Status: 200, Headers: []*encoder.Header{{Name: "Content-Type", Value: contentType}}}
+		send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: head}})
+		offset := uint64(len(req.GetResumePrefix()))
+		sendChunk(st, req, offset, text)
+		if whole {
+			sendEnd(st, req, offset+uint64(len(text)), text)
+		}
+	}
+}
+
+const (
+	typeStream = "text/event-stream"
+	typeJSON   = "application/json"
+)
+
+// An engine that repeats a whole JSON answer would append it to the part sent before.
+func TestBrokenJSONAnswerIsNotResumed(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c, 2, answerWithType(typeJSON, `{"a":`, false), answerWithType(typeJSON, `{"a":1}`, true))
+	s := &sink{}
+	out, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+	c.Assert(out.HeadSent, qt.IsTrue)
+	c.Assert(s.complete, qt.IsFalse)
+	c.Assert(s.String(), qt.Equals, `{"a":`)
+}
+
+// A resumed attempt with the same status may answer with an error document.
+func TestResumedAnswerOfOtherTypeIsNotAppended(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c, 2, answerWithType(typeStream, "data: 1\n\n", false), answerWithType(typeJSON, `{"error":"busy"}`, true))
+	s := &sink{}
+	_, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+	c.Assert(s.complete, qt.IsFalse)
+	c.Assert(s.String(), qt.Equals, "data: 1\n\n")
+}
+
+// The incident: the failure of a second server must not become part of an answer.
+func TestFailureOfResumedAttemptIsNotAppended(t *testing.T) {
+	c := qt.New(t)
+	failure := func(req *encoder.RunRequest, st *connector.Stream) {
+		head := &encoder.Head{Status: 500, Headers: []*encoder.Header{{Name: "Content-Type", Value: typeStream}}}
+		send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: head}})
+		offset := uint64(len(req.GetResumePrefix()))
+		sendChunk(st, req, offset, "failed")
+		sendEnd(st, req, offset+6, "failed")
+	}
+	f := newFixture(c, 2, answerWithType(typeStream, "data: 1\n\n", false), failure)
+	s := &sink{}
+	out, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+	c.Assert(out.HeadSent, qt.IsTrue)
+	c.Assert(s.complete, qt.IsFalse)
+	c.Assert(s.String(), qt.Equals, "data: 1\n\n")
+}
+
+// Headers that the caller has belong to the answer of the first attempt.
+func TestHeadOfOtherAnswerIsNotContinued(t *testing.T) {
+	c := qt.New(t)
+	withTag := func(tag string, whole bool) script {
+		return func(req *encoder.RunRequest, st *connector.Stream) {
+			head := &encoder.Head{Status: 200, Headers: []*encoder.Header{{Name: "Etag", Value: tag}}}
+			send(st, req, &encoder.RunEvent{Kind: &encoder.RunEvent_Head{Head: head}})
+			if whole {
+				sendChunk(st, req, 0, tag)
+				sendEnd(st, req, uint64(len(tag)), tag)
+			}
+		}
+	}
+	f := newFixture(c, 2, withTag("first", false), withTag("second", true))
+	s := &sink{}
+	_, ok := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+	c.Assert(s.complete, qt.IsFalse)
+}
+
+// A refusal that comes after the head must not lead to a second run of the request.
+func TestRefusalAfterHeadIsNotRetriedUnlessResumable(t *testing.T) {
+	c := qt.New(t)
+	for _, code := range []string{encoder.CodeLeaving, encoder.CodeConfigBehind, encoder.CodeConfigStale, encoder.CodeGenerationClosed, encoder.CodeBusy} {
+		c.Run(code, func(c *qt.C) {
+			begun := func(req *encoder.RunRequest, st *connector.Stream) {
+				sendHead(st, req)
+				sendChunk(st, req, 0, "part")
+				refuse(code, encoder.Execution_EXECUTION_NOT_RUN)(req, st)
+			}
+			f := newFixture(c, 2, begun, answerWithType(typeStream, "whole", true))
+			f.activeConfig.Apply(newService(c, registrar.ServiceModel))
+			s := &sink{}
+			req := newRequest(false)
+			out, ok := f.Do(c.Context(), req, s).(*Refused)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("completed with %q", s))
+			c.Assert(out.HeadSent, qt.IsTrue)
+			c.Assert(out.Execution, qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
+			c.Assert(f.received, qt.HasLen, 1)
+			c.Assert(s.String(), qt.Equals, "part")
+		})
+	}
+}
+
+// newService returns the configuration of a service whose POST requests to the test's
+// path are not idempotent.
+func newService(c *qt.C, kind registrar.ServiceKind) []*encoder.Entity {
+	svc := &registrar.Service{
+		Name: "svc", Kind: kind, MaxAttempts: 4, RetryBudget: 1, Retention: time.Hour,
+		Routes: []registrar.Route{{Methods: []string{"POST"}, PathPrefix: "/", Idempotent: false}},
+	}
+	ticket := &registrar.Ticket{Number: 2, Services: []*registrar.Service{svc}}
+	entities, err := ticket.Entities()
+	c.Assert(err, qt.IsNil)
+	return entities
+}
+
+// A part of the answer shows that the request ran, whatever the table says.
+func TestPartOfAnswerIsNotReportedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c, 1, answerWithType(typeJSON, "part", false))
+	out, ok := f.Do(t.Context(), newRequest(false), &sink{}).(*Refused)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(out.Execution, qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
+}
--- /dev/null
+++ b/internal/entry/server/response.go
@@ -0,0 +1,148 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"siskinfall/internal/wire/encoder"
+)
+
+// response is the answer to a caller. It implements dispatcher.Sink and flushes
+// every write of an event stream.
+type response struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	// id is the request ID in answers to the caller.
+	id     string
+	method string
+	// stream is true only for an event stream with a body.
+	stream bool
+	// endsWithConn says that nothing but the end of the connection ends the answer.
+	endsWithConn bool
+	// conn is nil if the connection cannot be reset.
+	conn lingerer
+	// complete is set only once the whole answer was written.
+	complete bool
+}
+
+func newResponse(w http.ResponseWriter, r *http.Request, id string) *response {
+	conn, _ := r.Context().Value(connKey{}).(lingerer)
+	return &response{
+		w: w, rc: http.NewResponseController(w), id: id, method: r.Method, endsWithConn: !r.ProtoAtLeast(1, 1), conn: conn,
+	}
+}
+
+// lingerer is the part of net.TCPConn that selects what closing the connection does.
+type lingerer interface{ SetLinger(sec int) error }
+
+// Arguments of SetLinger.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// WithConn adds a connection to the context of its requests. The http.Server of
+// CallersHandler must use it as ConnContext.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+var errNoReset = errors.New("connection cannot be reset")
+
+// resetOnClose makes every close of the connection reset it until Complete, also
+// one by the server or by the end of the process.
+func (r *response) resetOnClose() error {
+	if !r.endsWithConn {
+		return nil
+	}
+	if r.conn == nil {
+		return errNoReset
+	}
+	return r.conn.SetLinger(lingerReset)
+}
+
+// SendHead implements dispatcher.Sink.
+func (r *response) SendHead(head *encoder.Head) error {
+	if err := r.resetOnClose(); err != nil {
+		return err
+	}
+	for _, h := range head.GetHeaders() {
+		if h.GetName() != encoder.HeaderAttemptID {
+			r.w.Header().Set(h.GetName(), h.GetValue())
+		}
+	}
+	r.stream = head.IsEventStream() && r.hasBody(int(head.GetStatus()))
+	if head.GetReplayed() {
+		r.w.Header().Set(headerReplayed, "true")
+	}
+	r.w.WriteHeader(int(head.GetStatus()))
+	return nil
+}
+
+// hasBody reports whether an answer with a final status has a body.
+func (r *response) hasBody(status int) bool {
+	return r.method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// SendData implements dispatcher.Sink.
+func (r *response) SendData(data []byte) error {
+	if _, err := r.w.Write(data); err != nil {
+		return err
+	}
+	if r.stream {
+		return r.rc.Flush()
+	}
+	return nil
+}
+
+// Complete implements dispatcher.Sink.
+func (r *response) Complete() {
+	if r.endsWithConn && (r.rc.Flush() != nil || r.conn.SetLinger(lingerDefault) != nil) {
+		return
+	}
+	r.complete = true
+}
+
+// refuse answers with a problem.
+func (r *response) refuse(p *Problem) {
+	p.write(r.w, r.id)
+	r.complete = true
+}
+
+// sendErrorEvent adds an error event to an event stream that cannot be completed.
+func (r *response) sendErrorEvent(p *Problem) {
+	if !r.stream {
+		return
+	}
+	data, err := json.Marshal(p.withID(r.id))
+	if err != nil {
+		log.Error("failed to encode problem", "request_id", r.id, "error", err)
+		return
+	}
+	_, _ = fmt.Fprintf(r.w, "event: error\ndata: %s\n\n", data)
+	_ = r.rc.Flush()
+}
+
+var abortedAnswers = metrics.NewCounter("siskinfall_answers_aborted_total")
+
+// close ends the response. Unless the answer is complete, it panics with
+// http.ErrAbortHandler: net/http ends the answer of a handler that returns as a
+// complete one.
+func (r *response) close() {
+	if r.complete {
+		return
+	}
+	abortedAnswers.Inc()
+	log.Info("answer aborted", "request_id", r.id)
+	panic(http.ErrAbortHandler)
+}
