Agent: complete a body that ends with its connection, unless it is reset

It refused every answer without a length or chunks, so that a plain service that frames none of its answers could not be answered for at all; an order there would have had an unknown outcome each time. What remains: a process that crashes is closed regularly by its kernel, and a part of such a body then looks whole.

--- a/internal/agent/driver/driver.go
+++ b/internal/agent/driver/driver.go
@@ -135,30 +135,9 @@
 		}
 	}
 	a.Stream = encoder.IsEventStream(resp.Header.Get("Content-Type"))
-	if !a.Stream && endsWithConn(resp) {
-		a.Body = &openEndedBody{ReadCloser: resp.Body}
-	}
 	return a
 }
 
-// endsWithConn reports whether nothing but the end of the connection ends the body.
-func endsWithConn(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-}
-
-// openEndedBody is a body that ends with its connection. Its end is an error, since a
-// backend server that crashes ends the connection, too.
-type openEndedBody struct{ io.ReadCloser }
-
-// Read implements io.Reader.
-func (b *openEndedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
 // healthTimeout bounds one health check.
 const healthTimeout = time.Second
 
