Gateway: reset answers to HTTP/1.0 also when the process or its server ends

What callers saw: with HTTP/1.0, a stream whose gateway was killed, or closed its connections at the end of the grace period, ended like a whole one.

Change: as on the own interface, the connection is set to be reset by any close while an answer is under way, and set back once the answer was written and flushed. Both use wire/resetter; the code of entry/server moves there, the hijacking of the gateway goes.

--- a/internal/entry/server/callers_test.go
+++ b/internal/entry/server/callers_test.go
@@ -27,6 +27,7 @@
 	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
+	"siskinfall/internal/wire/resetter"
 )
 
 func TestMain(m *testing.M) {
@@ -60,7 +61,7 @@
 	agent := startAgent(ctx, c, answer)
 	e.tracker.SetInstances(ctx, []storer.Instance{agent})
 	e.callers = httptest.NewUnstartedServer(e.CallersHandler())
-	e.callers.Config.ConnContext = WithConn
+	e.callers.Config.ConnContext = resetter.WithConn
 	e.callers.Start()
 	c.Cleanup(func() { cancel(); e.callers.Close(); e.pool.Close(); e.tracker.Wait(); platform.Close() })
 	waitFor(c, func() bool { return len(e.tracker.GetService("svc").Backends) == 1 })
--- a/internal/entry/server/response.go
+++ b/internal/entry/server/response.go
@@ -1,17 +1,15 @@
 package server
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/wire/encoder"
+	"siskinfall/internal/wire/resetter"
 )
 
 // response is the answer to a caller. It implements dispatcher.Sink and flushes
@@ -24,56 +22,18 @@
 	method string
 	// stream is true only for an event stream with a body.
 	stream bool
-	// endsWithConn says that nothing but the end of the connection ends the answer.
-	endsWithConn bool
-	// conn is nil if the connection cannot be reset.
-	conn lingerer
+	*resetter.Resetter
 	// complete is set only once the whole answer was written.
 	complete bool
 }
 
 func newResponse(w http.ResponseWriter, r *http.Request, id string) *response {
-	conn, _ := r.Context().Value(connKey{}).(lingerer)
-	return &response{
-		w: w, rc: http.NewResponseController(w), id: id, method: r.Method, endsWithConn: !r.ProtoAtLeast(1, 1), conn: conn,
-	}
-}
-
-// lingerer is the part of net.TCPConn that selects what closing the connection does.
-type lingerer interface{ SetLinger(sec int) error }
-
-// Arguments of SetLinger.
-const (
-	lingerReset   = 0
-	lingerDefault = -1
-)
-
-// connKey is the key of the connection in the context of its requests.
-type connKey struct{}
-
-// WithConn adds a connection to the context of its requests. The http.Server of
-// CallersHandler must use it as ConnContext.
-func WithConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
-var errNoReset = errors.New("connection cannot be reset")
-
-// resetOnClose makes every close of the connection reset it until Complete, also
-// one by the server or by the end of the process.
-func (r *response) resetOnClose() error {
-	if !r.endsWithConn {
-		return nil
-	}
-	if r.conn == nil {
-		return errNoReset
-	}
-	return r.conn.SetLinger(lingerReset)
+	return &response{w: w, rc: http.NewResponseController(w), id: id, method: r.Method, Resetter: resetter.New(r)}
 }
 
 // SendHead implements dispatcher.Sink.
 func (r *response) SendHead(head *encoder.Head) error {
-	if err := r.resetOnClose(); err != nil {
+	if err := r.Arm(); err != nil {
 		return err
 	}
 	for _, h := range head.GetHeaders() {
@@ -107,7 +67,8 @@
 
 // Complete implements dispatcher.Sink.
 func (r *response) Complete() {
-	if r.endsWithConn && (r.rc.Flush() != nil || r.conn.SetLinger(lingerDefault) != nil) {
+	if err := r.Disarm(r.w); err != nil {
+		log.Info("failed to complete answer", "request_id", r.id, "error", err)
 		return
 	}
 	r.complete = true
--- a/internal/gateway/evictor/evictor.go
+++ b/internal/gateway/evictor/evictor.go
@@ -79,7 +79,13 @@
 // Watch hooks into a server's handler and connection states. The server must serve on
 // the returned listener.
 func (e *Evictor) Watch(s *http.Server, ln net.Listener) net.Listener {
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	nextContext := s.ConnContext
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if nextContext != nil {
+			ctx = nextContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
 	next := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if cc, ok := c.(*conn); ok && state == http.StateIdle {
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -122,7 +122,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := f.codec.DecodeRequest(r.Header)
-	x := &exchange{Forwarder: f, w: &reply{ResponseWriter: w, requestID: req.ID, unframed: !r.ProtoAtLeast(1, 1)}, r: r, start: time.Now(), Request: req}
+	x := &exchange{Forwarder: f, w: newReply(w, r, req.ID), r: r, start: time.Now(), Request: req}
 	if x.admit() && x.readBody() && x.checkQuarantine() {
 		x.serve(r.Context())
 	}
--- a/internal/gateway/forwarder/invariant_test.go
+++ b/internal/gateway/forwarder/invariant_test.go
@@ -32,9 +32,10 @@
 	catalog := &holder.Catalog{Version: 1, Services: []holder.Service{{Name: "desk", MaxConnections: 40}}}
 	catalog.Index()
 	w := httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil)
 	return &exchange{
 		Forwarder: New(holder.New(), placer.New(), nil, dialer.NewPool(), nil, emptyCodec{}, "zone-a"),
-		Request:   Request{ID: "r1"}, w: &reply{ResponseWriter: w, requestID: "r1"}, r: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil), start: time.Now(),
+		Request:   Request{ID: "r1"}, w: newReply(w, r, "r1"), r: r, start: time.Now(),
 		snapshot: catalog, route: &holder.Route{Name: "r", Kind: kind, MaxAttempts: 2}, service: "desk", deadline: time.Now().Add(time.Minute),
 	}, w
 }
--- a/internal/gateway/forwarder/reply.go
+++ b/internal/gateway/forwarder/reply.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"errors"
 	"mime"
 	"net/http"
 
@@ -9,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/check/asserter"
+	"siskinfall/internal/wire/resetter"
 )
 
 var (
@@ -21,16 +21,18 @@
 // returning.
 type reply struct {
 	http.ResponseWriter
+	*resetter.Resetter
 	requestID string
-	// unframed is set for a caller of HTTP/1.0: the end of its connection ends an answer of
-	// unknown length.
-	unframed bool
 	// status is that of the head that was sent, 0 before.
 	status int
 	// complete is set once the whole answer was written.
 	complete bool
 }
 
+func newReply(w http.ResponseWriter, r *http.Request, requestID string) *reply {
+	return &reply{ResponseWriter: w, Resetter: resetter.New(r), requestID: requestID}
+}
+
 // hasBegun reports whether the caller has the head. From then on, the answer can be
 // continued or aborted, but not replaced by another one.
 func (p *reply) hasBegun() bool { return p.status != 0 }
@@ -56,43 +58,33 @@
 	if err != nil {
 		return err
 	}
+	if err := p.Arm(); err != nil {
+		return err
+	}
 	p.status = status
 	p.WriteHeader(status)
 	return nil
 }
 
 // setComplete marks the answer as whole, so that it ends cleanly.
-func (p *reply) setComplete() { p.complete = true }
+func (p *reply) setComplete() {
+	if err := p.Disarm(p.ResponseWriter); err != nil {
+		log.Info("completing the answer failed", "event", "abort", "request", p.requestID, "error", err)
+		return
+	}
+	p.complete = true
+}
 
 // Unwrap returns the underlying writer for http.ResponseController.
 func (p *reply) Unwrap() http.ResponseWriter { return p.ResponseWriter }
 
 // end counts the answer. For one that is not complete, it panics with http.ErrAbortHandler,
-// by which net/http closes the connection. If that would look like a regular end, the
-// connection is reset instead.
+// by which net/http closes the connection.
 func (p *reply) end() {
 	if p.complete {
 		completeAnswers.Inc()
 		return
 	}
 	abortedAnswers.Inc()
-	if p.unframed {
-		p.reset()
-	}
 	panic(http.ErrAbortHandler)
 }
-
-// reset closes the caller's connection with a TCP reset.
-func (p *reply) reset() {
-	conn, _, err := http.NewResponseController(p.ResponseWriter).Hijack()
-	if err != nil {
-		log.Warn("taking over the client connection failed", "event", "reset", "request", p.requestID, "error", err)
-		return
-	}
-	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		err = c.SetLinger(0)
-	}
-	if err = errors.Join(err, conn.Close()); err != nil {
-		log.Info("resetting the client connection failed", "event", "reset", "request", p.requestID, "error", err)
-	}
-}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -31,6 +31,7 @@
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
+	"siskinfall/internal/wire/resetter"
 )
 
 const (
@@ -139,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	callerServer := &http.Server{Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes} //nolint:gosec // the evictor bounds the time to read the headers
+	callerServer := &http.Server{Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnContext: resetter.WithConn} //nolint:gosec // the evictor bounds the time to read the headers
 	callers = evictor.New(g.catalog).Watch(callerServer, callers)
 	adminServer := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
 	var wg sync.WaitGroup
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -31,6 +31,7 @@
 	"siskinfall/internal/store/storer"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
+	"siskinfall/internal/wire/resetter"
 )
 
 // ErrDrainIncomplete is returned when the shutdown ended before the work in flight
@@ -209,7 +210,7 @@
 		if _, err := ls.bind(l.addr); err != nil {
 			return nil, err
 		}
-		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: entry.WithConn})
+		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: resetter.WithConn})
 	}
 	return servers, nil
 }
