Gateway: bound the head of a backend server's answer

A backend server, or another process at its address, that sends a status line, a header line or header lines without end kept the gateway reading until the request's deadline, with all of it held in memory: one such answer could take the instance's memory with it. http.ReadResponse has no limit of its own, unlike http.Transport.

dialer.Conn now reads through an io.LimitedReader that is set to limiter.MaxHeadBytes (64 KiB) while a head is read, bytes already buffered included, and is unlimited otherwise.

--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +18,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/fault/wrapper"
 )
 
@@ -54,6 +57,8 @@
 type Conn struct {
 	net.Conn
 	Reader *bufio.Reader
+	// readLimit is the source of Reader; it is unlimited except within ReadAnswer.
+	readLimit io.LimitedReader
 	// Reused is whether the connection has carried a request before.
 	Reused bool
 	key    Key
@@ -92,9 +97,25 @@
 	return c.Close()
 }
 
-// ReadAnswer reads the head of an answer to req.
+func newConn(conn net.Conn, key Key, pool *Pool) *Conn {
+	c := &Conn{Conn: conn, key: key, pool: pool, idleTimeout: defaultIdleTimeout, readLimit: io.LimitedReader{R: conn, N: math.MaxInt64}}
+	c.Reader = bufio.NewReaderSize(&c.readLimit, readBufferSize)
+	return c
+}
+
+// ServerID returns the ID of the server.
+func (c *Conn) ServerID() string { return c.key.ID }
+
+// ReadAnswer reads the head of an answer to req. It returns limiter.ErrTooLarge if the
+// head exceeds limiter.MaxHeadBytes.
 func (c *Conn) ReadAnswer(req *http.Request) (*http.Response, error) {
-	return http.ReadResponse(c.Reader, req)
+	c.readLimit.N = limiter.MaxHeadBytes - int64(c.Reader.Buffered())
+	resp, err := http.ReadResponse(c.Reader, req)
+	if err != nil && c.readLimit.N <= 0 {
+		return nil, limiter.ErrTooLarge
+	}
+	c.readLimit.N = math.MaxInt64
+	return resp, err
 }
 
 // Pool holds connections to all servers. It is safe for concurrent use.
@@ -137,7 +158,7 @@
 		p.release(key)
 		return nil, wrapper.At("connect_backend", key.ID, err)
 	}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(conn, readBufferSize), key: key, pool: p, idleTimeout: defaultIdleTimeout}, nil
+	return newConn(conn, key, p), nil
 }
 
 // reserve returns an idle connection. Without one, it counts a new connection against
--- /dev/null
+++ b/internal/backend/limiter/limiter.go
@@ -0,0 +1,35 @@
+// Package limiter bounds how much of one answer is read, so that a backend server, or
+// another process at its address, can't occupy memory, a connection or a caller with
+// bytes that never end.
+package limiter
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+)
+
+// MaxHeadBytes bounds the head of an answer: eight times the 8 KiB up to which servers
+// commonly accept one.
+const MaxHeadBytes = 64 << 10
+
+// ErrTooLarge is returned when an answer exceeds its bound.
+var ErrTooLarge = errors.New("answer exceeds the size limit")
+
+// Source identifies an answer in logs.
+type Source struct {
+	// Request is empty if the answer belongs to no caller's request.
+	Request string
+	// Server is the ID of the backend server, or its address.
+	Server string
+	// Step is the name, in snake_case, of the operation that reads the answer.
+	Step string
+}
+
+// Report logs and counts an answer that exceeds a bound in bytes.
+func Report(src Source, bound int64) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_answers_too_large_total{step=%q}`, src.Step)).Inc()
+	log.Warn("answer exceeds the size limit", "event", "answer_too_large", "request", src.Request, "server", src.Server, "step", src.Step, "bytes", bound)
+}
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/backend/dialer"
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/gateway/placer"
@@ -222,6 +223,11 @@
 	return err
 }
 
+// sourceOf identifies an answer on conn in logs.
+func (x *exchange) sourceOf(conn *dialer.Conn, step string) limiter.Source {
+	return limiter.Source{Request: x.ID, Server: conn.ServerID(), Step: step}
+}
+
 // maxSilentObjectives is how long an attempt at a repeatable request may wait for the
 // first byte before another server is tried, as a multiple of the route's objective.
 const maxSilentObjectives = 3
@@ -231,6 +237,9 @@
 func (x *exchange) readHead(conn *dialer.Conn, req *http.Request) (*answered, error) {
 	for range maxStrayAnswers + 1 {
 		resp, err := conn.ReadAnswer(req) //nolint:bodyclose // the body ends with the connection
+		if errors.Is(err, limiter.ErrTooLarge) {
+			limiter.Report(x.sourceOf(conn, "read_head"), limiter.MaxHeadBytes)
+		}
 		if err != nil {
 			return nil, err
 		}
