Gateway: close the connection after a rejection that was cut at its limit

When a server's rejection had a body over 64 KiB, the gateway read 64 KiB of it and returned the connection to the pool, since reading up to the limit is no error. If the rest arrived only after the next request was sent, it stood where that request's answer was due: a caller could get bytes that belong to no answer, with status 200 and a signature.

Reading a body that is not relayed is now one function for rejections and for late answers to other requests. A body that reaches the limit is reported (answer_too_large, step discard_body) and its connection closed; the request goes on as not run, as before.

Evidence: TestConnectionIsReusedAfterCutRejection fails on the old code at endless_test.go:228, got "forged", want "answer to r2". It passes now, and so do floods in both kinds of discarded body, which are given up after 0.5 and 2.0 MB written, socket buffers included. A rejection whose body is one byte below the limit keeps its connection (TestConnectionIsClosedAfterRejection).

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -148,8 +148,7 @@
 	switch {
 	case a.NotRun:
 		out := &notRun{Answer: a.Answer, status: a.resp.StatusCode}
-		_, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxStrayBytes))
-		a.release(err == nil, x.pool)
+		a.release(x.discardBody(a.conn, a.resp) == nil, x.pool)
 		return out
 	case !a.Signed && a.resp.StatusCode < http.StatusBadRequest:
 		a.release(false, x.pool)
@@ -223,6 +222,17 @@
 	return err
 }
 
+// discardBody reads the body of an answer that is not relayed, so that the connection can
+// be reused. It returns limiter.ErrTooLarge for one that reaches maxStrayBytes.
+func (x *exchange) discardBody(conn *dialer.Conn, resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
+	if err == nil && n == maxStrayBytes {
+		limiter.Report(x.sourceOf(conn, "discard_body"), maxStrayBytes)
+		err = limiter.ErrTooLarge
+	}
+	return err
+}
+
 // sourceOf identifies an answer on conn in logs.
 func (x *exchange) sourceOf(conn *dialer.Conn, step string) limiter.Source {
 	return limiter.Source{Request: x.ID, Server: conn.ServerID(), Step: step}
@@ -252,8 +262,7 @@
 		}
 		log.Warn("discarded answer to another request", "event", "stray_answer", "request", x.ID, "answered", a.RequestID,
 			"server", conn.RemoteAddr(), "status", resp.StatusCode)
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
-		if err != nil || n == maxStrayBytes || resp.Close {
+		if err := x.discardBody(conn, resp); err != nil || resp.Close {
 			return nil, errStrayAnswer
 		}
 	}
