Gateway: bound the body of an answer

A body without a length, in chunks or with a length that no answer has was passed on to the caller until the request's deadline, and so was a stream of events or comments without end. One whose server closed the connection in the end even looked complete to the caller.

The body of an answer is now read through a limiter.Reader with limiter.MaxAnswerBytes (64 MiB). The reader needs one byte beyond the bound to tell an endless body from one that ends there. An answer that has begun is then broken off, by the path that a broken connection takes; one whose head announces more is not begun, so a repeatable request goes to another server and others get 502. Each case is one line answer_too_large, step read_answer. The overhead of chunks and trailers was and is bounded by net/http (16 KiB and the read buffer).

--- a/internal/backend/limiter/limiter.go
+++ b/internal/backend/limiter/limiter.go
@@ -11,9 +11,15 @@
 	"github.com/charmbracelet/log"
 )
 
-// MaxHeadBytes bounds the head of an answer: eight times the 8 KiB up to which servers
-// commonly accept one.
-const MaxHeadBytes = 64 << 10
+// Bounds of an answer in bytes.
+const (
+	// MaxHeadBytes bounds the head: eight times the 8 KiB up to which servers commonly
+	// accept one.
+	MaxHeadBytes = 64 << 10
+	// MaxAnswerBytes bounds the body: four times the 16 MiB of a stream of 128,000 tokens,
+	// each in an event of 128 bytes.
+	MaxAnswerBytes = 64 << 20
+)
 
 // ErrTooLarge is returned when an answer exceeds its bound.
 var ErrTooLarge = errors.New("answer exceeds the size limit")
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -154,6 +154,13 @@
 		a.release(false, x.pool)
 		return &unknown{err: wrapper.At("check_answer", p.ID, errUnsigned)}
 	}
+	src := x.sourceOf(a.conn, "read_answer")
+	if a.resp.Body != http.NoBody && a.resp.ContentLength > limiter.MaxAnswerBytes {
+		limiter.Report(src, limiter.MaxAnswerBytes)
+		a.release(false, x.pool)
+		return &unknown{err: wrapper.At("check_answer", p.ID, limiter.ErrTooLarge)}
+	}
+	a.resp.Body = limiter.NewReader(a.resp.Body, limiter.MaxAnswerBytes, src)
 	return a
 }
 
