Gateway: retry elsewhere after a failure that does not fit the buffer

A server that answered a repeatable request with a 5xx status and a body over 256 KiB, or without end, had its failure passed on at once: the caller got a 500 that broke off at the bound of answers, or at its deadline, though another server could have answered. Failures that fit the buffer are retried elsewhere already.

Such a failure is now given up at the size of the buffer (one line answer_too_large, step read_failure) and its connection is closed; the request goes to another server, and if there is none the caller gets 502, since the failure can't be given whole. Failures of requests that must not be repeated are relayed as before, up to limiter.MaxAnswerBytes.

A failure one byte below the bound is passed on whole (TestFailureOfMaximumSizeIsReplaced).

--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -34,6 +34,9 @@
 		x.logAttempt(p, "failed by the backend server", nil)
 		return retry{sent: true, fallback: failure{status: a.resp.StatusCode, buffered: &bufferedAnswer{resp: a.resp, body: buffered.Bytes()}}}
 	}
+	if !whole && x.isRetryableFailure(a.resp.StatusCode) {
+		return x.abandonFailure(p, a)
+	}
 	x.writeHead(a.resp, whole, buffered.Len())
 	n, err := x.w.Write(buffered.Bytes())
 	written := int64(n)
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -154,13 +154,10 @@
 		a.release(false, x.pool)
 		return &unknown{err: wrapper.At("check_answer", p.ID, errUnsigned)}
 	}
-	src := x.sourceOf(a.conn, "read_answer")
-	if a.resp.Body != http.NoBody && a.resp.ContentLength > limiter.MaxAnswerBytes {
-		limiter.Report(src, limiter.MaxAnswerBytes)
+	if err := x.limitBody(a); err != nil {
 		a.release(false, x.pool)
-		return &unknown{err: wrapper.At("check_answer", p.ID, limiter.ErrTooLarge)}
+		return &unknown{err: wrapper.At("check_answer", p.ID, err)}
 	}
-	a.resp.Body = limiter.NewReader(a.resp.Body, limiter.MaxAnswerBytes, src)
 	return a
 }
 
@@ -229,22 +226,6 @@
 	return err
 }
 
-// discardBody reads the body of an answer that is not relayed, so that the connection can
-// be reused. It returns limiter.ErrTooLarge for one that reaches maxStrayBytes.
-func (x *exchange) discardBody(conn *dialer.Conn, resp *http.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
-	if err == nil && n == maxStrayBytes {
-		limiter.Report(x.sourceOf(conn, "discard_body"), maxStrayBytes)
-		err = limiter.ErrTooLarge
-	}
-	return err
-}
-
-// sourceOf identifies an answer on conn in logs.
-func (x *exchange) sourceOf(conn *dialer.Conn, step string) limiter.Source {
-	return limiter.Source{Request: x.ID, Server: conn.ServerID(), Step: step}
-}
-
 // maxSilentObjectives is how long an attempt at a repeatable request may wait for the
 // first byte before another server is tried, as a multiple of the route's objective.
 const maxSilentObjectives = 3
