Gateway: relay events with long lines

An event of a stream with a line over 1,024 bytes broke the stream, although events may have 1 MiB: the caller's answer was cut off, or the request was sent on to another server, which broke off at the same event; each time it counted as a crash of the server, and after three crashes the request was quarantined. The reader used bufio.Reader.ReadSlice, which returns ErrBufferFull for a line that outgrows the buffer.

Events are now read by an eventReader with a buffer of its own, which returns each event in place and doubles when one does not fit, up to the limit; it shrinks again after a long one. An event over limiter.MaxEventBytes, ended or not, breaks the stream off visibly and is one line answer_too_large, step read_event.

--- a/internal/backend/limiter/limiter.go
+++ b/internal/backend/limiter/limiter.go
@@ -19,6 +19,9 @@
 	// MaxAnswerBytes bounds the body: four times the 16 MiB of a stream of 128,000 tokens,
 	// each in an event of 128 bytes.
 	MaxAnswerBytes = 64 << 20
+	// MaxEventBytes bounds one event of a stream: the default limit of a request's body,
+	// which an event that repeats its request may contain.
+	MaxEventBytes = 1 << 20
 )
 
 // ErrTooLarge is returned when an answer exceeds its bound.
--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -119,17 +118,12 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
-var errEventTooLong = errors.New("event exceeds the size limit")
-
 // relayStream relays an event stream event by event. The head is held back until the
 // first event, so that a stream that never begins can be retried elsewhere.
 func (x *exchange) relayStream(ctx context.Context, p *placer.Placed, a *answered) nextAction {
-	br := bufio.NewReaderSize(a.resp.Body, eventBufferBytes)
+	events := newEventReader(a.resp.Body, x.sourceOf(a.conn, "read_event"))
 	for {
-		event, id, err := readEvent(br)
+		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return x.finishStream(p, a)
 		}
@@ -159,9 +153,6 @@
 	}
 }
 
-// eventBufferBytes is the size of the read buffer for events.
-const eventBufferBytes = 1 << 10
-
 // relayEvent relays one event. Within one answer, including its resumptions on other
 // servers, no event is relayed twice.
 func (x *exchange) relayEvent(resp *http.Response, event []byte, id int) error {
@@ -194,34 +185,3 @@
 	x.logEnd(a.resp.StatusCode, "answered", 0)
 	return done{}
 }
-
-// idField starts the line with the number of an event.
-var idField = []byte("id:")
-
-// readEvent reads one event, up to the blank line that ends it, and returns its number,
-// 0 if it has none. It returns io.EOF at the end of the stream, and
-// io.ErrUnexpectedEOF with the bytes read if the stream ends within an event.
-func readEvent(br *bufio.Reader) (event []byte, id int, err error) {
-	for {
-		line, err := br.ReadSlice('\n')
-		event = append(event, line...)
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(event) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
-			return event, 0, err
-		}
-		if len(event) > maxEventBytes {
-			return nil, 0, errEventTooLong
-		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
-			return event, id, nil
-		}
-		if text, ok := bytes.CutPrefix(trimmed, idField); ok {
-			if n, err := strconv.Atoi(string(bytes.TrimSpace(text))); err == nil {
-				id = n
-			}
-		}
-	}
-}
