--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/backend/dialer"
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/gateway/placer"
@@ -148,12 +149,16 @@
 	switch {
 	case a.NotRun:
 		out := &notRun{Answer: a.Answer, status: a.resp.StatusCode}
-		a.discard(x.pool)
+		a.release(x.discardBody(a.conn, a.resp) == nil, x.pool)
 		return out
 	case !a.Signed && a.resp.StatusCode < http.StatusBadRequest:
 		a.release(false, x.pool)
 		return &unknown{err: wrapper.At("check_answer", p.ID, errUnsigned)}
 	}
+	if err := x.limitBody(a); err != nil {
+		a.release(false, x.pool)
+		return &unknown{err: wrapper.At("check_answer", p.ID, err)}
+	}
 	return a
 }
 
@@ -168,12 +173,6 @@
 	_ = a.conn.Close()
 }
 
-// discard reads the rest of the body, up to maxStrayBytes, and releases the connection.
-func (a *answered) discard(pool *dialer.Pool) {
-	n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxStrayBytes))
-	a.release(err == nil && n < maxStrayBytes, pool)
-}
-
 // newRequest returns the request to be sent to the server.
 func (x *exchange) newRequest(p *placer.Placed) *http.Request {
 	h := copyHeaders(x.r.Header)
@@ -237,6 +236,9 @@
 func (x *exchange) readHead(conn *dialer.Conn, req *http.Request) (*answered, error) {
 	for range maxStrayAnswers + 1 {
 		resp, err := conn.ReadAnswer(req) //nolint:bodyclose // the body ends with the connection
+		if errors.Is(err, limiter.ErrTooLarge) {
+			limiter.Report(x.sourceOf(conn, "read_head"), limiter.MaxHeadBytes)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -249,8 +251,7 @@
 		}
 		log.Warn("discarded answer to another request", "event", "stray_answer", "request", x.ID, "answered", a.RequestID,
 			"server", conn.RemoteAddr(), "status", resp.StatusCode)
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
-		if err != nil || n == maxStrayBytes || resp.Close {
+		if err := x.discardBody(conn, resp); err != nil || resp.Close {
 			return nil, errStrayAnswer
 		}
 	}
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -180,7 +180,7 @@
 // handleFailedResumption handles an answer that does not continue the one that has begun.
 // Nothing of it is relayed.
 func (x *exchange) handleFailedResumption(p *placer.Placed, a *answered) nextAction {
-	a.discard(x.pool)
+	a.release(x.discardBody(a.conn, a.resp) == nil, x.pool)
 	p.Finish(placer.Failed, time.Now())
 	err := fmt.Errorf("status %d, content type %q, want %d, %q", a.resp.StatusCode, a.resp.Header.Get("Content-Type"), x.w.status, x.w.Header().Get("Content-Type"))
 	x.logAttempt(p, "resumption failed", wrapper.At("resume_stream", p.ID, err))
