Entry: test that each refusal after the head aborts the answer

A broken attempt, a refusal by the agent and the deadline, in an event stream and in a plain answer, were right already and not tested at the border to the caller. On a scratch copy whose response.close returns instead of panicking, all six cases fail, and so do the tests of half-closed callers, of the length and of answers without a body.

--- a/internal/entry/server/callers_test.go
+++ b/internal/entry/server/callers_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -287,3 +288,29 @@
 		})
 	}
 }
+
+// The caller has the head in each of these cases, so that only an abort shows the end.
+func TestRefusalAfterHeadAbortsAnswer(t *testing.T) {
+	c := qt.New(t)
+	for name, end := range map[string]script{
+		"broken": func(*encoder.RunRequest, *connector.Stream) {},
+		"refused": func(req *encoder.RunRequest, st *connector.Stream) {
+			refusal := &encoder.Refusal{Code: encoder.CodeCrashed, Step: "test", Execution: encoder.Execution_EXECUTION_UNKNOWN}
+			_ = st.Send(&encoder.RunEvent{AttemptId: req.GetAttemptId(), Kind: &encoder.RunEvent_Refusal{Refusal: refusal}})
+		},
+		"deadline": func(_ *encoder.RunRequest, st *connector.Stream) { _ = st.Receive(&encoder.Open{}) },
+	} {
+		for kind, headers := range map[string][]*encoder.Header{"stream": {eventStream}, "plain": nil} {
+			c.Run(name+" "+kind, func(c *qt.C) {
+				e := newTestEntry(c, registrar.ServiceModel, func(req *encoder.RunRequest, st *connector.Stream) {
+					sendHead(req, st, headers...)
+					sendChunk(req, st, 0, "part")
+					end(req, st)
+				})
+				request := strings.Replace(chatHTTP11, "Host: entry", "Host: entry\r\n"+headerTimeout+": 1s", 1)
+				body, err := readAnswer(e.send(c, request))
+				c.Assert(err, qt.IsNotNil, qt.Commentf("complete answer with body %q", body))
+			})
+		}
+	}
+}
