Entry: bound the time of a request body by its pauses and in total

What callers and operators would see: a request whose body stopped half-way was held without bound, and kept a graceful shutdown waiting until its timeout. So was one refused before its body was read, since net/http reads the rest of the body before it answers.

Cause: only the time to read the head of a request was limited.

Evidence: before the change TestStalledBodiesAreRefusedBesideNormalCallers and TestStalledBodiesOfOperatorsAreRefused (/v1/tickets) hung until the test timed out (15 s and 6 s), waiting for the first response.

Change: the bodies of requests from callers and operators are read under a read deadline that each read moves on by entry.body_pause (10 s), at most to entry.body_timeout (1 min) after the head; it is removed at the end of the body. The answer is 408, code body_timeout, execution not_run, with Connection: close; callers' ones are logged and counted in siskinfall_request_bodies_timed_out_total.

--- a/internal/entry/server/admin.go
+++ b/internal/entry/server/admin.go
@@ -50,7 +50,7 @@
 	mux.HandleFunc("GET /v1/report/burn", s.authorize(roleReader, s.getBurn))
 	mux.HandleFunc("GET /v1/executions/{account}/{service}/{key}", s.authorize(roleReader, s.getExecution))
 	mux.HandleFunc("POST /v1/executions/{account}/{service}/{key}", s.authorize(roleOperator, s.settleExecution))
-	return mux
+	return s.boundBodies(mux)
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/server/callers.go
+++ b/internal/entry/server/callers.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -135,9 +134,9 @@
 	if !ok {
 		return nil, newProblem(http.StatusUnauthorized, encoder.CodeUnauthorized, "authenticate", "the bearer key is not known")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.cfg.Entry.MaxBody)))
-	if err != nil {
-		return nil, newBodyProblem(err)
+	body, problem := readBody(w, r, s.cfg.Entry.MaxBody, id)
+	if problem != nil {
+		return nil, problem
 	}
 	svc, prefix, problem := find(snap, body)
 	if problem != nil {
@@ -157,14 +156,6 @@
 	return req, s.setIdempotencyKey(r, req)
 }
 
-func newBodyProblem(err error) *Problem {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return newProblem(http.StatusRequestEntityTooLarge, encoder.CodeTooLarge, "read_body", "the body is too large")
-	}
-	return newProblem(http.StatusBadRequest, encoder.CodeBadRequest, "read_body", "the body could not be read")
-}
-
 // setIdempotencyKey sets the key of a non-idempotent request: the caller's, or the
 // request ID. The prefixes keep the two apart.
 func (s *Server) setIdempotencyKey(r *http.Request, req *dispatcher.Request) *Problem {
--- a/internal/entry/server/callers_test.go
+++ b/internal/entry/server/callers_test.go
@@ -49,11 +49,14 @@
 	callers *httptest.Server
 }
 
-func newTestEntry(c *qt.C, kind registrar.ServiceKind, answer script) *testEntry {
+func newTestEntry(c *qt.C, kind registrar.ServiceKind, answer script, opts ...func(*loader.Entry)) *testEntry {
 	ctx, cancel := context.WithCancel(context.Background())
 	platform := httptest.NewServer(keeper.New().Handler())
 	cfg := loader.NewSettings()
 	cfg.Instance, cfg.Zone = "entry", "z"
+	for _, opt := range opts {
+		opt(&cfg.Entry)
+	}
 	client := storer.NewClient(netip.MustParseAddrPort(platform.Listener.Addr().String()), storer.WithTimeout(time.Second))
 	e := &testEntry{Server: New(ctx, cfg, 1, client)}
 	e.activeConfig.Apply(newEntities(c, kind))
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -330,5 +330,5 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", s.serveModel)
 	mux.HandleFunc("/", s.servePlain)
-	return mux
+	return s.boundBodies(mux)
 }
--- a/internal/entry/server/tickets.go
+++ b/internal/entry/server/tickets.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -40,9 +39,9 @@
 }
 
 func (s *Server) postTicket(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTicketBytes))
-	if err != nil {
-		newBodyProblem(err).write(w, "")
+	body, problem := readBody(w, r, maxTicketBytes, "")
+	if problem != nil {
+		problem.write(w, "")
 		return
 	}
 	ticket, err := registrar.ParseTicket(body)
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -56,6 +56,8 @@
 	RemoteAgents  int              `yaml:"remote_agents" validate:"min=0,max=1024" comment:"agents watched in each other availability zone; 0 watches all"`
 	OperatorKeys  []OperatorKey    `yaml:"operator_keys" validate:"dive" comment:"keys of operators; without any, only loopback may operate"`
 	MaxBody       int              `yaml:"max_body_bytes" validate:"min=1024,max=4194304" comment:"largest request body"`
+	BodyPause     time.Duration    `yaml:"body_pause" validate:"min=50ms,max=10m" comment:"longest pause between two parts of a request body"`
+	BodyTimeout   time.Duration    `yaml:"body_timeout" validate:"min=50ms,max=1h" comment:"longest time for a whole request body"`
 	ExplainRecent int              `yaml:"explain_recent" validate:"min=16,max=100000" comment:"requests kept for explain"`
 }
 
@@ -135,6 +137,8 @@
 			RemoteAgents:  0,
 			OperatorKeys:  []OperatorKey{},
 			MaxBody:       1 << 20,
+			BodyPause:     10 * time.Second,
+			BodyTimeout:   time.Minute,
 			ExplainRecent: 2000,
 		},
 		Agent: Agent{
--- a/internal/wire/encoder/code.go
+++ b/internal/wire/encoder/code.go
@@ -25,6 +25,7 @@
 	CodeNotFound         = "not_found"
 	CodeBadRequest       = "bad_request"
 	CodeTooLarge         = "body_too_large"
+	CodeBodyTimeout      = "body_timeout"
 	CodeKeyRequired      = "key_required"
 	CodeDraining         = "draining"
 	CodeNotReady         = "not_ready"
