Connector: streams that only the peer has not closed keep no session open

Seen: TestCallsShareOneSessionAndLeakNoGoroutines failed now and then with one session left after CloseIdle(0). An entry kept an unused session to a peer whose handler does not return, for up to five minutes after the last call (StreamCloseTimeout of yamux) instead of the 30 s of sessionIdleTimeout. Cause: the pool, not the test. closeIdle asked yamux for NumStreams, which counts a stream until both ends have closed it. A call returns with its answer and has closed its own half then; the peer's close comes after the answer, when its handler returns. Change: the pool counts, for each session it dialed, the streams that this end has not closed. A stream is counted while the link is locked, before it is opened, so that a session is not closed between its choice and the opening of the stream; it ends with Close, once, or with the first failed Receive. The idle time starts at the last opening or closing instead of the last opening, so bytes just written are not lost with the session. The peer has to close its half when its handler returns; one that never does keeps an unused session for minIdle after this end's last Close, and no longer.

--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -38,6 +38,10 @@
 	writer *bufio.Writer
 	// peer is the name of the instance at the other end.
 	peer string
+	// session counts the stream until it is closed. It is nil for accepted streams.
+	session   *dialedSession
+	closeOnce sync.Once
+	closeErr  error
 }
 
 func newStream(conn net.Conn, peer string) *Stream {
@@ -47,8 +51,16 @@
 // Peer returns the name of the instance at the other end.
 func (s *Stream) Peer() string { return s.peer }
 
-// Close closes the stream in both directions.
-func (s *Stream) Close() error { return s.conn.Close() }
+// Close closes the stream in both directions. Further calls return the first result.
+func (s *Stream) Close() error {
+	s.closeOnce.Do(func() {
+		s.closeErr = s.conn.Close()
+		if s.session != nil {
+			s.session.release()
+		}
+	})
+	return s.closeErr
+}
 
 // SetReadDeadline bounds the wait for the next message.
 func (s *Stream) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
@@ -124,12 +136,42 @@
 type link struct {
 	mu sync.Mutex
 	// session is nil until a dial succeeds.
-	session *yamux.Session
-	hello   *encoder.Hello
-	// lastUsed is when the session was last requested for a stream.
+	session *dialedSession
+}
+
+// dialedSession is a session that carries only streams opened by this end.
+type dialedSession struct {
+	*yamux.Session
+	hello *encoder.Hello
+	mu    sync.Mutex
+	// openStreams counts the streams that this end has not closed. yamux also counts
+	// those that only the peer has not closed; a peer that never does so must not keep
+	// the session open.
+	openStreams int
+	// lastUsed is when a stream was last opened or closed.
 	lastUsed time.Time
 }
 
+// acquire counts a stream that is about to be opened. The caller holds the link's mu,
+// so that the session is not closed as idle in between.
+func (s *dialedSession) acquire() { s.countStream(1) }
+
+// release ends the count of a stream.
+func (s *dialedSession) release() { s.countStream(-1) }
+
+func (s *dialedSession) countStream(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.openStreams += n
+	s.lastUsed = time.Now()
+}
+
+func (s *dialedSession) isIdle(minIdle time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.openStreams == 0 && time.Since(s.lastUsed) >= minIdle
+}
+
 // DialFunc opens a connection to a peer.
 type DialFunc func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
@@ -155,18 +197,20 @@
 
 // Open opens a stream to addr and sends its first frame.
 func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, open *encoder.Open) (*Stream, error) {
-	session, hello, err := p.getSession(ctx, addr)
+	session, err := p.acquireSession(ctx, addr)
 	if err != nil {
 		return nil, wrapper.At("dial", addr.String(), err)
 	}
 	conn, err := session.OpenStream()
 	if err != nil {
+		session.release()
 		p.Drop(addr)
-		return nil, wrapper.At("open_stream", hello.GetInstance(), err)
+		return nil, wrapper.At("open_stream", session.hello.GetInstance(), err)
 	}
-	s := newStream(conn, hello.GetInstance())
+	s := newStream(conn, session.hello.GetInstance())
+	s.session = session
 	if err := s.Send(open); err != nil {
-		_ = conn.Close()
+		_ = s.Close()
 		return nil, err
 	}
 	return s, nil
@@ -203,7 +247,9 @@
 	}
 }
 
-// CloseIdle closes the sessions without streams that have not been used for minIdle.
+// CloseIdle closes the sessions on which this end has had no open stream for minIdle.
+// It does not wait for peers to close their side of a stream, so a call that has
+// returned keeps no session open; a handler that still runs at the peer is canceled.
 func (p *Pool) CloseIdle(minIdle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -221,7 +267,7 @@
 		return false
 	}
 	defer l.mu.Unlock()
-	if l.session == nil || time.Since(l.lastUsed) < minIdle || l.session.NumStreams() > 0 {
+	if l.session == nil || !l.session.isIdle(minIdle) {
 		return false
 	}
 	_ = l.session.Close()
@@ -256,39 +302,40 @@
 	return l, nil
 }
 
-func (p *Pool) getSession(ctx context.Context, addr netip.AddrPort) (*yamux.Session, *encoder.Hello, error) {
+// acquireSession returns the session to addr, dialed if needed, and counts a stream
+// on it.
+func (p *Pool) acquireSession(ctx context.Context, addr netip.AddrPort) (*dialedSession, error) {
 	l, err := p.getLink(addr)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastUsed = time.Now()
-	if l.session != nil && !l.session.IsClosed() {
-		return l.session, l.hello, nil
-	}
-	session, hello, err := p.connect(ctx, addr)
-	if err != nil {
-		return nil, nil, err
+	if l.session == nil || l.session.IsClosed() {
+		session, err := p.connect(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		l.session = session
 	}
-	l.session, l.hello = session, hello
-	return session, hello, nil
+	l.session.acquire()
+	return l.session, nil
 }
 
-func (p *Pool) connect(ctx context.Context, addr netip.AddrPort) (*yamux.Session, *encoder.Hello, error) {
+func (p *Pool) connect(ctx context.Context, addr netip.AddrPort) (*dialedSession, error) {
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	hello, err := handshake(conn, p.own, true)
 	if err != nil {
 		_ = conn.Close()
-		return nil, nil, wrapper.At("handshake", addr.String(), err)
+		return nil, wrapper.At("handshake", addr.String(), err)
 	}
 	session, err := yamux.Client(newCoalescer(conn), newConfig())
 	if err != nil {
 		_ = conn.Close()
-		return nil, nil, err
+		return nil, err
 	}
-	return session, hello, nil
+	return &dialedSession{Session: session, hello: hello}, nil
 }
--- a/internal/wire/connector/connector_test.go
+++ b/internal/wire/connector/connector_test.go
@@ -47,7 +47,9 @@
 	defer goleak.VerifyNone(t)
 	c := qt.New(t)
 	addr, stop := serve(c, echo)
+	defer stop()
 	pool := NewPool(newHello("client"))
+	defer pool.Close()
 	var wg sync.WaitGroup
 	for i := range uint64(50) {
 		wg.Go(func() {
@@ -58,15 +60,57 @@
 		})
 	}
 	wg.Wait()
-	c.Assert(pool.links, qt.HasLen, 1)
+	c.Assert(len(pool.links), qt.Equals, 1)
 	pool.CloseIdle(time.Hour)
-	c.Assert(pool.links, qt.HasLen, 1)
+	c.Assert(len(pool.links), qt.Equals, 1)
 	pool.CloseIdle(0)
-	c.Assert(pool.links, qt.HasLen, 0)
+	c.Assert(len(pool.links), qt.Equals, 0)
 	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.IsNil)
 	pool.Close()
 	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.IsNotNil)
-	stop()
+}
+
+// echoAndHold answers and keeps its side of the stream open until the session ends.
+func echoAndHold(ctx context.Context, peer *encoder.Hello, open *encoder.Open, st *Stream) {
+	echo(ctx, peer, open, st)
+	<-ctx.Done()
+}
+
+// A peer that never closed its side of a returned call's stream kept the session open.
+func TestIdleSessionStaysOpenForPeerThatNeverClosesStream(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	addr, stop := serve(c, echoAndHold)
+	defer stop()
+	pool := NewPool(newHello("client"))
+	defer pool.Close()
+	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.IsNil)
+	pool.CloseIdle(0)
+	c.Assert(len(pool.links), qt.Equals, 0)
+}
+
+// A stream closed twice must not end the count of another one.
+func TestSessionWithOpenStreamIsClosedAsIdle(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	addr, stop := serve(c, echoAndHold)
+	defer stop()
+	pool := NewPool(newHello("client"))
+	defer pool.Close()
+	closed, err := pool.Open(t.Context(), addr, newOpen(1))
+	c.Assert(err, qt.IsNil)
+	open, err := pool.Open(t.Context(), addr, newOpen(2))
+	c.Assert(err, qt.IsNil)
+	c.Assert(closed.Close(), qt.IsNil)
+	c.Assert(closed.Close(), qt.IsNil)
+	pool.CloseIdle(0)
+	c.Assert(len(pool.links), qt.Equals, 1)
+	c.Assert(open.Receive(&encoder.ConfigSync{}), qt.IsNil)
+	c.Assert(open.Close(), qt.IsNil)
+	pool.CloseIdle(time.Hour)
+	c.Assert(len(pool.links), qt.Equals, 1)
+	pool.CloseIdle(0)
+	c.Assert(len(pool.links), qt.Equals, 0)
 }
 
 func TestVersionMismatchFailsWithStepAndPeer(t *testing.T) {
--- a/internal/wire/connector/stream.go
+++ b/internal/wire/connector/stream.go
@@ -31,7 +31,7 @@
 func (s *Stream) Receive(m Message) error {
 	err := s.reader.Read(m)
 	if err != nil {
-		_ = s.conn.Close()
+		_ = s.Close()
 	}
 	return wrapper.At("receive_frame", s.peer, err)
 }
