Connector: a link is not dialed after it was removed from the pool

Seen: connections that nobody closes, not even Pool.Close, when callers wait for a link while another one drops it, as after the restart of a busy peer. They lasted until the peer ended them. Cause: a caller takes the link from the map, then waits for its lock. When the link was dropped in between, the caller found the session closed and dialed again into a link that the map no longer held. Removing idle links had the same gap. Change: Drop and CloseIdle mark the link as removed under its lock, and a caller that meets such a link gets a new one from the pool. The map does not hold removed links, so the second attempt can't meet the same one; after Pool.Close it fails.

--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -137,8 +138,14 @@
 	mu sync.Mutex
 	// session is nil until a dial succeeds.
 	session *dialedSession
+	// isRemoved is true once the pool no longer holds the link. It is not dialed then,
+	// since nothing would close the session.
+	isRemoved bool
 }
 
+// errLinkRemoved says that the caller must get the link from the pool again.
+var errLinkRemoved = errors.New("link removed")
+
 // dialedSession is a session that carries only streams opened by this end.
 type dialedSession struct {
 	*yamux.Session
@@ -242,6 +249,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.isRemoved = true
 	if l.session != nil {
 		_ = l.session.Close()
 	}
@@ -270,6 +278,7 @@
 	if l.session == nil || !l.session.isIdle(minIdle) {
 		return false
 	}
+	l.isRemoved = true
 	_ = l.session.Close()
 	return true
 }
@@ -305,14 +314,26 @@
 // acquireSession returns the session to addr, dialed if needed, and counts a stream
 // on it.
 func (p *Pool) acquireSession(ctx context.Context, addr netip.AddrPort) (*dialedSession, error) {
-	l, err := p.getLink(addr)
-	if err != nil {
-		return nil, err
+	for {
+		l, err := p.getLink(addr)
+		if err != nil {
+			return nil, err
+		}
+		session, err := l.acquireSession(func() (*dialedSession, error) { return p.connect(ctx, addr) })
+		if !errors.Is(err, errLinkRemoved) {
+			return session, err
+		}
 	}
+}
+
+func (l *link) acquireSession(connect func() (*dialedSession, error)) (*dialedSession, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.isRemoved {
+		return nil, errLinkRemoved
+	}
 	if l.session == nil || l.session.IsClosed() {
-		session, err := p.connect(ctx, addr)
+		session, err := connect()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/wire/connector/connector_test.go
+++ b/internal/wire/connector/connector_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,6 +114,47 @@
 	c.Assert(len(pool.links), qt.Equals, 0)
 }
 
+// countedConn ends its count in open when it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { c.open.Add(-1) })
+	return err
+}
+
+// A caller that waited for a link while it was dropped dialed a session that nothing closed.
+func TestDroppedLinkIsDialedAgain(t *testing.T) {
+	c := qt.New(t)
+	addr, stop := serve(c, echo)
+	defer stop()
+	var open atomic.Int64
+	pool := NewPool(newHello("client"), WithDial(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		conn, err := dialTCP(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		open.Add(1)
+		return &countedConn{Conn: conn, open: &open}, nil
+	}))
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			for range 20 {
+				_ = pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{})
+				pool.Drop(addr)
+			}
+		})
+	}
+	wg.Wait()
+	pool.Close()
+	c.Assert(open.Load(), qt.Equals, int64(0))
+}
+
 func TestVersionMismatchFailsWithStepAndPeer(t *testing.T) {
 	c := qt.New(t)
 	addr, stop := serve(c, echo)
