--- a/internal/wire/connector/connector_test.go
+++ b/internal/wire/connector/connector_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,7 +48,9 @@
 	defer goleak.VerifyNone(t)
 	c := qt.New(t)
 	addr, stop := serve(c, echo)
+	defer stop()
 	pool := NewPool(newHello("client"))
+	defer pool.Close()
 	var wg sync.WaitGroup
 	for i := range uint64(50) {
 		wg.Go(func() {
@@ -58,15 +61,98 @@
 		})
 	}
 	wg.Wait()
-	c.Assert(pool.links, qt.HasLen, 1)
+	c.Assert(len(pool.links), qt.Equals, 1)
 	pool.CloseIdle(time.Hour)
-	c.Assert(pool.links, qt.HasLen, 1)
+	c.Assert(len(pool.links), qt.Equals, 1)
 	pool.CloseIdle(0)
-	c.Assert(pool.links, qt.HasLen, 0)
+	c.Assert(len(pool.links), qt.Equals, 0)
 	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.IsNil)
 	pool.Close()
 	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.IsNotNil)
-	stop()
+}
+
+// echoAndHold answers and keeps its side of the stream open until the session ends.
+func echoAndHold(ctx context.Context, peer *encoder.Hello, open *encoder.Open, st *Stream) {
+	echo(ctx, peer, open, st)
+	<-ctx.Done()
+}
+
+// A peer that never closed its side of a returned call's stream kept the session open.
+func TestIdleSessionStaysOpenForPeerThatNeverClosesStream(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	addr, stop := serve(c, echoAndHold)
+	defer stop()
+	pool := NewPool(newHello("client"))
+	defer pool.Close()
+	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.IsNil)
+	pool.CloseIdle(0)
+	c.Assert(len(pool.links), qt.Equals, 0)
+}
+
+// A stream closed twice must not end the count of another one.
+func TestSessionWithOpenStreamIsClosedAsIdle(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	addr, stop := serve(c, echoAndHold)
+	defer stop()
+	pool := NewPool(newHello("client"))
+	defer pool.Close()
+	closed, err := pool.Open(t.Context(), addr, newOpen(1))
+	c.Assert(err, qt.IsNil)
+	open, err := pool.Open(t.Context(), addr, newOpen(2))
+	c.Assert(err, qt.IsNil)
+	c.Assert(closed.Close(), qt.IsNil)
+	c.Assert(closed.Close(), qt.IsNil)
+	pool.CloseIdle(0)
+	c.Assert(len(pool.links), qt.Equals, 1)
+	c.Assert(open.Receive(&encoder.ConfigSync{}), qt.IsNil)
+	c.Assert(open.Close(), qt.IsNil)
+	pool.CloseIdle(time.Hour)
+	c.Assert(len(pool.links), qt.Equals, 1)
+	pool.CloseIdle(0)
+	c.Assert(len(pool.links), qt.Equals, 0)
+}
+
+// countedConn ends its count in open when it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { c.open.Add(-1) })
+	return err
+}
+
+// A caller that waited for a link while it was dropped dialed a session that nothing closed.
+func TestDroppedLinkIsDialedAgain(t *testing.T) {
+	c := qt.New(t)
+	addr, stop := serve(c, echo)
+	defer stop()
+	var open atomic.Int64
+	pool := NewPool(newHello("client"), WithDial(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		conn, err := dialTCP(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		open.Add(1)
+		return &countedConn{Conn: conn, open: &open}, nil
+	}))
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			for range 20 {
+				_ = pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{})
+				pool.Drop(addr)
+			}
+		})
+	}
+	wg.Wait()
+	pool.Close()
+	c.Assert(open.Load(), qt.Equals, int64(0))
 }
 
 func TestVersionMismatchFailsWithStepAndPeer(t *testing.T) {
