Agent: bound what is read of the backend server's answers

A backend server whose answer never ends kept its agent reading: 10 MiB of a head, the body of an idempotent request and the reply to a health check until their deadlines, and an engine's reply, which is collected in memory, without any bound (Stage has no timeout).

limiter.Transport wraps http.Transport with limiter.MaxHeadBytes for heads and a bound for bodies: limiter.MaxAnswerBytes for calls, encoder.MaxFrame (8 MiB, which holds a map) for engine replies. Health replies have 1 MiB. Beyond a bound the read fails with limiter.ErrTooLarge, the connection is closed, and one line answer_too_large says so. Engine calls no longer use the default transport with its proxies from the environment.

--- a/internal/agent/driver/driver.go
+++ b/internal/agent/driver/driver.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/wire/encoder"
 )
@@ -25,6 +26,9 @@
 // IsErrNotSent reports whether err is or wraps ErrNotSent.
 func IsErrNotSent(err error) bool { return errors.Is(err, ErrNotSent) }
 
+// attemptHeader carries the ID of an attempt in a call and in its answer.
+const attemptHeader = "X-Attempt-Id"
+
 // Call is one request to the backend server.
 type Call struct {
 	AttemptID string
@@ -63,18 +67,22 @@
 	addr netip.AddrPort
 	// pooled reuses connections. singleUse never does, so that the transport cannot
 	// resend a request by itself.
-	pooled, singleUse *http.Transport
+	pooled, singleUse *limiter.Transport
 }
 
 // NewDriver returns a Driver for the backend server at addr.
 func NewDriver(addr netip.AddrPort) *Driver {
 	return &Driver{
 		addr:      addr,
-		pooled:    &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true},
-		singleUse: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		pooled:    newTransport(&http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}),
+		singleUse: newTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
 	}
 }
 
+func newTransport(base *http.Transport) *limiter.Transport {
+	return limiter.NewTransport(base, "backend_call", limiter.MaxAnswerBytes, limiter.WithRequestID(attemptHeader))
+}
+
 // Do sends a call and returns when the response headers have been received. The
 // error wraps ErrNotSent if the request could not be built or no connection was
 // obtained.
@@ -117,7 +125,7 @@
 	for _, h := range c.Headers {
 		req.Header.Add(h.GetName(), h.GetValue())
 	}
-	req.Header.Set("X-Attempt-Id", c.AttemptID)
+	req.Header.Set(attemptHeader, c.AttemptID)
 	return req, nil
 }
 
@@ -129,7 +137,7 @@
 
 func newAnswer(resp *http.Response) *Answer {
 	a := &Answer{Status: resp.StatusCode, Body: resp.Body, Length: resp.ContentLength}
-	for _, name := range []string{"Content-Type", "Location", "Etag", "Cache-Control", "X-Attempt-Id"} {
+	for _, name := range []string{"Content-Type", "Location", "Etag", "Cache-Control", attemptHeader} {
 		if v := resp.Header.Get(name); v != "" {
 			a.Headers = append(a.Headers, &encoder.Header{Name: name, Value: v})
 		}
@@ -138,8 +146,12 @@
 	return a
 }
 
-// healthTimeout bounds one health check.
-const healthTimeout = time.Second
+// Bounds of one health check.
+const (
+	healthTimeout = time.Second
+	// maxHealthBytes is the size of a reply with 50,000 prefixes.
+	maxHealthBytes = 1 << 20
+)
 
 // GetHealth performs one health check of the backend server.
 func (d *Driver) GetHealth(ctx context.Context) (Health, error) {
@@ -155,6 +167,7 @@
 		return h, wrapper.At("backend_health", d.addr.String(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	err = json.NewDecoder(resp.Body).Decode(&h)
+	body := limiter.NewReader(resp.Body, maxHealthBytes, limiter.Source{Server: d.addr.String(), Step: "backend_health"})
+	err = json.NewDecoder(body).Decode(&h)
 	return h, wrapper.At("backend_health", d.addr.String(), err)
 }
--- a/internal/agent/driver/group.go
+++ b/internal/agent/driver/group.go
@@ -10,9 +10,11 @@
 	"net/netip"
 	"time"
 
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/expert/planner"
 	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/wire/encoder"
 )
 
 // Paths of an engine's interface for its model group.
@@ -27,12 +29,19 @@
 	client *http.Client
 }
 
-// memoryTimeout bounds one read of an engine's memory.
-const memoryTimeout = 2 * time.Second
+// Bounds of one call of an engine.
+const (
+	// memoryTimeout is for reads of the engine's memory only.
+	memoryTimeout = 2 * time.Second
+	// maxEngineReplyBytes is the size of the frames in which maps are sent to agents; the
+	// largest reply holds one map.
+	maxEngineReplyBytes = encoder.MaxFrame
+)
 
 // NewGroupDriver returns a GroupDriver for the engine at addr.
 func NewGroupDriver(addr netip.AddrPort) *GroupDriver {
-	return &GroupDriver{addr: addr, client: &http.Client{}}
+	transport := limiter.NewTransport(&http.Transport{DisableCompression: true}, "engine_call", maxEngineReplyBytes)
+	return &GroupDriver{addr: addr, client: &http.Client{Transport: transport}}
 }
 
 // MemoryBody is the JSON form of follower.Memory. A request to stage a map carries
