Agent: count only the event itself towards the limit of an event

Events that arrive together are sent to the entry in one frame. The limit of an event, 1 MiB, counted the events collected before it, too: a stream with a long event right after short ones ended with "answer is too large", and whether it did depended on how the bytes arrived.

The limit now counts from the start of the event. A frame then holds at most the collected 32 KiB and one event, well under encoder.MaxFrame. It is the limit of the gateway (limiter.MaxEventBytes), and an event beyond it is one line answer_too_large, step read_event, before the attempt is refused with its outcome unknown. Lines over the read buffer were already read whole here.

--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/agent/driver"
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/execution/guard"
 	"siskinfall/internal/wire/encoder"
@@ -21,9 +22,6 @@
 	chunkSize = 32 << 10
 	// maxAnswerBytes bounds the answer to a non-idempotent request.
 	maxAnswerBytes = 4 << 20
-	// maxEventBytes bounds a server-sent event, together with the events collected
-	// before it.
-	maxEventBytes = 1 << 20
 )
 
 // doneEvent is the end marker of a complete stream.
@@ -135,8 +133,9 @@
 	for {
 		line, err := r.ReadSlice('\n')
 		events = append(events, line...)
-		if len(events) > maxEventBytes {
-			return errTooLarge
+		if len(events)-lastStart > limiter.MaxEventBytes {
+			limiter.Report(a.newSource("read_event"), limiter.MaxEventBytes)
+			return limiter.ErrTooLarge
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
@@ -159,6 +158,11 @@
 	}
 }
 
+// newSource identifies the backend server's answer to this attempt in logs.
+func (a *attempt) newSource(step string) limiter.Source {
+	return limiter.Source{Request: a.req.GetAttemptId(), Server: a.cfg.Agent.Backend.String(), Step: step}
+}
+
 func checkStreamEnd(done bool) error {
 	if done {
 		return nil
--- /dev/null
+++ b/internal/agent/server/endless_test.go
@@ -0,0 +1,92 @@
+package server
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinfall/internal/agent/driver"
+	"siskinfall/internal/backend/limiter"
+	"siskinfall/internal/wire/encoder"
+)
+
+// serveBackend replaces the agent's backend server by a healthy one with a handler.
+func (ta *testAgent) serveBackend(c *qt.C, handler http.HandlerFunc) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"boot":"b"}`) })
+	mux.HandleFunc("/", handler)
+	backend := httptest.NewServer(mux)
+	c.Cleanup(backend.Close)
+	ta.driver = driver.NewDriver(netip.MustParseAddrPort(backend.Listener.Addr().String()))
+}
+
+// measure sends an attempt and returns its last event and the length of the data before it.
+func (ta *testAgent) measure(c *qt.C, req *encoder.RunRequest) (last *encoder.RunEvent, n int) {
+	st := ta.open(c, req)
+	for {
+		ev := &encoder.RunEvent{}
+		c.Assert(st.Receive(ev), qt.IsNil)
+		switch k := ev.GetKind().(type) {
+		case *encoder.RunEvent_Chunk:
+			n += len(k.Chunk.GetData())
+		case *encoder.RunEvent_End, *encoder.RunEvent_Refusal:
+			return ev, n
+		}
+	}
+}
+
+// newEvent returns an event of a size in bytes.
+func newEvent(size int) string {
+	const begin, end = "data: ", "\n\n"
+	return begin + strings.Repeat("a", size-len(begin)-len(end)) + end
+}
+
+// writeStream writes a stream of events in a single write, so that they arrive together.
+func writeStream(w http.ResponseWriter, events ...string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, strings.Join(events, "")+doneEvent+"\n\n")
+}
+
+// TestEventsBeforeLongEventBreakStream guards against counting events that were collected
+// before an event towards its limit.
+func TestEventsBeforeLongEventBreakStream(t *testing.T) {
+	for name, sizes := range map[string][]int{
+		"alone":          {limiter.MaxEventBytes},
+		"after another":  {20 << 10, limiter.MaxEventBytes},
+		"after many":     {10 << 10, 10 << 10, 10 << 10, limiter.MaxEventBytes, 100, limiter.MaxEventBytes - 1},
+		"long lines":     {900, 1024, 1025, 40 << 10, 64 << 10},
+		"half the limit": {limiter.MaxEventBytes / 2, limiter.MaxEventBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ta := newTestAgent(c)
+			total := len(doneEvent) + 2
+			events := make([]string, 0, len(sizes))
+			for _, size := range sizes {
+				events = append(events, newEvent(size))
+				total += size
+			}
+			ta.serveBackend(c, func(w http.ResponseWriter, _ *http.Request) { writeStream(w, events...) })
+			last, n := ta.measure(c, newRun("a.1", true))
+			c.Assert(last.GetEnd(), qt.IsNotNil, qt.Commentf("%v", last.GetRefusal()))
+			c.Assert(n, qt.Equals, total)
+		})
+	}
+}
+
+// TestEventOverLimitIsForwarded guards against collecting an event without bound.
+func TestEventOverLimitIsForwarded(t *testing.T) {
+	c := qt.New(t)
+	ta := newTestAgent(c)
+	ta.serveBackend(c, func(w http.ResponseWriter, _ *http.Request) {
+		writeStream(w, newEvent(100), newEvent(limiter.MaxEventBytes+1))
+	})
+	last, n := ta.measure(c, newRun("a.1", true))
+	c.Assert(last.GetRefusal().GetExecution(), qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
+	c.Assert(n <= 100, qt.IsTrue)
+}
