Agent: find the end of an event behind a line that fills the buffer

An event with a line of exactly the read buffer's 32 KiB was sent to the entry in two parts, split before its last lines: the end of the line, which is read separately, was taken for the blank line that ends an event. A caller whose stream broke between the parts had half an event, and so had the prefix that the next backend server resumes after.

The blank line is now looked for in the whole line, not in the part of it that was read last.

Evidence: on the old code TestLineOfBufferSizeSplitsEvent fails at endless_test.go:106 with "chunk of 32769 bytes", which does not end with the blank line; it passes now.

--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -129,10 +129,10 @@
 func (a *attempt) copyEvents(r *bufio.Reader) error {
 	var events []byte
 	done := false
-	lastStart := 0
+	lastStart, lineStart := 0, 0
 	for {
-		line, err := r.ReadSlice('\n')
-		events = append(events, line...)
+		part, err := r.ReadSlice('\n')
+		events = append(events, part...)
 		if len(events)-lastStart > limiter.MaxEventBytes {
 			limiter.Report(a.newSource("read_event"), limiter.MaxEventBytes)
 			return limiter.ErrTooLarge
@@ -146,6 +146,8 @@
 		if err != nil {
 			return err
 		}
+		line := events[lineStart:]
+		lineStart = len(events)
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
@@ -153,7 +155,7 @@
 		lastStart = len(events)
 		if r.Buffered() == 0 || done || len(events) >= chunkSize {
 			a.sendChunk(events, done)
-			events, lastStart = events[:0], 0
+			events, lastStart, lineStart = events[:0], 0, 0
 		}
 	}
 }
--- a/internal/agent/server/endless_test.go
+++ b/internal/agent/server/endless_test.go
@@ -90,3 +90,24 @@
 	c.Assert(last.GetRefusal().GetExecution(), qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
 	c.Assert(n <= 100, qt.IsTrue)
 }
+
+// TestLineOfBufferSizeSplitsEvent guards against taking the end of a line that fills the
+// read buffer for the blank line that ends an event.
+func TestLineOfBufferSizeSplitsEvent(t *testing.T) {
+	c := qt.New(t)
+	ta := newTestAgent(c)
+	line := "data: " + strings.Repeat("a", chunkSize-len("data: "))
+	ta.serveBackend(c, func(w http.ResponseWriter, _ *http.Request) { writeStream(w, line+"\ndata: b\n\n") })
+	st := ta.open(c, newRun("a.1", true))
+	for {
+		ev := &encoder.RunEvent{}
+		c.Assert(st.Receive(ev), qt.IsNil)
+		if chunk := ev.GetChunk(); chunk != nil {
+			c.Assert(strings.HasSuffix(string(chunk.GetData()), "\n\n"), qt.IsTrue, qt.Commentf("chunk of %d bytes", len(chunk.GetData())))
+		}
+		if ev.GetEnd() != nil {
+			return
+		}
+		c.Assert(ev.GetRefusal(), qt.IsNil)
+	}
+}
