--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/agent/driver"
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/execution/guard"
 	"siskinfall/internal/wire/encoder"
@@ -21,9 +22,6 @@
 	chunkSize = 32 << 10
 	// maxAnswerBytes bounds the answer to a non-idempotent request.
 	maxAnswerBytes = 4 << 20
-	// maxEventBytes bounds a server-sent event, together with the events collected
-	// before it.
-	maxEventBytes = 1 << 20
 )
 
 // doneEvent is the end marker of a complete stream.
@@ -33,7 +31,6 @@
 	errTruncated = errors.New("stream ended without its end marker")
 	// errDataAfterEnd is returned for a stream that continues after its end marker.
 	errDataAfterEnd = errors.New("stream continues after its end marker")
-	errTooLarge     = errors.New("answer is too large")
 )
 
 // send writes an event after the buffered ones. The last event of an attempt also
@@ -110,7 +107,7 @@
 // copyBody forwards the answer as it arrives. A stream is forwarded in whole events.
 func (a *attempt) copyBody(answer *driver.Answer) error {
 	if answer.Stream {
-		return copyEvents(bufio.NewReaderSize(answer.Body, chunkSize), a.sendChunk)
+		return a.copyEvents(bufio.NewReaderSize(answer.Body, chunkSize), a.sendChunk)
 	}
 	buf := make([]byte, chunkSize)
 	for total := int64(0); ; {
@@ -130,7 +127,7 @@
 
 // copyEvents calls send with whole server-sent events, together with others that have
 // arrived; more is set for the last ones. A stream without the end marker is an error.
-func copyEvents(r *bufio.Reader, send func(events []byte, more bool)) error {
+func (a *attempt) copyEvents(r *bufio.Reader, send func(events []byte, more bool)) error {
 	var events []byte
 	// lastStart and lineStart are the positions of the current event and of its
 	// current line.
@@ -139,8 +136,9 @@
 		part, err := r.ReadSlice('\n')
 		events = append(events, part...)
 		switch {
-		case len(events) > maxEventBytes:
-			return errTooLarge
+		case len(events)-lastStart > limiter.MaxEventBytes:
+			limiter.Report(a.newSource("read_event"), limiter.MaxEventBytes)
+			return limiter.ErrTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF):
@@ -180,22 +178,16 @@
 	return nil
 }
 
+// newSource identifies the backend server's answer to this attempt in logs.
+func (a *attempt) newSource(step string) limiter.Source {
+	return limiter.Source{Request: a.req.GetAttemptId(), Server: a.cfg.Agent.Backend.String(), Step: step}
+}
+
 // readAnswer reads a complete answer to a non-idempotent request.
-func readAnswer(answer *driver.Answer) ([]byte, error) {
-	body, err := readBounded(answer.Body)
+func (a *attempt) readAnswer(answer *driver.Answer) ([]byte, error) {
+	body, err := io.ReadAll(limiter.NewReader(answer.Body, maxAnswerBytes, a.newSource("read_answer")))
 	if err != nil || !answer.Stream {
 		return body, err
 	}
-	return body, copyEvents(bufio.NewReader(bytes.NewReader(body)), func([]byte, bool) {})
-}
-
-func readBounded(r io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(data) > maxAnswerBytes {
-		return nil, errTooLarge
-	}
-	return data, nil
+	return body, a.copyEvents(bufio.NewReader(bytes.NewReader(body)), func([]byte, bool) {})
 }
