Isolator: a run that notices a crash late belongs to that crash

What callers saw: a request that crashes its backend server crashed a third one.

Cause, from reading: each run whose connection broke probes the server, once for those that come together. One that comes after the probe has ended starts another; by then the server is up, its boot ID is the one just recorded, and the answer is that there was no crash. For the request that crashed it, the entry then makes an ordinary retry in place of an isolated one, and the next crash yields no culprit.

Fix: a run knows how many crashes were detected before it began. If another one was detected since, it belongs to it, without a probe.

--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -14,6 +14,7 @@
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/config/registrar"
 	"siskinfall/internal/execution/guard"
+	"siskinfall/internal/suspect/isolator"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
@@ -33,6 +34,8 @@
 	queued time.Duration
 	// rowState describes the execution row of a non-idempotent request.
 	rowState string
+	// monitored is set once the attempt has a slot and may run.
+	monitored *isolator.Run
 	// release frees the slot of the queue. Further calls have no effect.
 	release func()
 }
@@ -107,12 +110,13 @@
 	}
 	a.release = release
 	defer func() { a.release() }()
-	finish, err := a.monitor.StartRun(a.req.GetDigest(), a.req.GetIsolated())
+	run, err := a.monitor.StartRun(a.req.GetDigest(), a.req.GetIsolated())
 	if err != nil {
 		a.refuse(encoder.CodeIsolationBusy, "isolate", encoder.Execution_EXECUTION_NOT_RUN, err.Error())
 		return
 	}
-	defer finish()
+	a.monitored = run
+	defer run.Finish()
 	if a.req.GetIdempotent() {
 		a.runIdempotent(ctx)
 		return
@@ -207,7 +211,7 @@
 		a.refuse(encoder.CodeDeadlineExceeded, "backend_call", execution, ctx.Err().Error())
 		return
 	}
-	if a.handedOver && a.monitor.DetectCrash(ctx) {
+	if a.handedOver && a.monitored.DetectCrash(ctx) {
 		log.Warn("backend server crashed", "attempt", a.req.GetAttemptId())
 		a.notifyWatchers()
 		a.refuseCrashed()
--- a/internal/suspect/isolator/watch.go
+++ b/internal/suspect/isolator/watch.go
@@ -38,7 +38,8 @@
 	boot    string
 	crashes uint64
 	// pendingCrash is the presumed crash that is being probed, nil if there is none.
-	pendingCrash *crash
+	// latestCrash was probed and found to be one, nil before the first.
+	pendingCrash, latestCrash *crash
 	// lastSuspects holds the suspects, or the culprit, of the latest crash.
 	lastSuspects []*encoder.Suspect
 }
@@ -57,10 +58,19 @@
 	return &Monitor{instance: instance, probe: probe, inFlight: make(map[string]int)}
 }
 
+// Run is one run on the backend server, from StartRun to Finish.
+type Run struct {
+	*Monitor
+	digest  string
+	suspect bool
+	// crashesBefore counts the crashes that were detected before the run.
+	crashesBefore uint64
+}
+
 // StartRun registers a run. It returns ErrOccupied for a suspect while another one
-// runs. The run must call finish when it ends; if its connection broke, it must call
-// DetectCrash first.
-func (m *Monitor) StartRun(digest []byte, suspect bool) (finish func(), err error) {
+// runs. Finish must be called when the run ends; if its connection broke, DetectCrash
+// must be called first.
+func (m *Monitor) StartRun(digest []byte, suspect bool) (*Run, error) {
 	key := string(digest)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -71,18 +81,19 @@
 		m.isolated = key
 	}
 	m.inFlight[key]++
-	return func() { m.finish(key, suspect) }, nil
+	return &Run{Monitor: m, digest: key, suspect: suspect, crashesBefore: m.crashes}, nil
 }
 
-func (m *Monitor) finish(key string, suspect bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.inFlight[key]--
-	if m.inFlight[key] == 0 {
-		delete(m.inFlight, key)
+// Finish ends the run.
+func (r *Run) Finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight[r.digest]--
+	if r.inFlight[r.digest] == 0 {
+		delete(r.inFlight, r.digest)
 	}
-	if suspect {
-		m.isolated = ""
+	if r.suspect {
+		r.isolated = ""
 	}
 }
 
@@ -97,12 +108,13 @@
 
 // DetectCrash must be called by each run whose connection broke. It probes the
 // backend server, once for concurrent calls, and reports whether it has crashed, that
-// is, does not answer or has another boot ID. It returns false if ctx ends while
-// another call probes.
-func (m *Monitor) DetectCrash(ctx context.Context) bool {
-	c, isFirst := m.joinCrash()
+// is, does not answer or has another boot ID. A crash that another run has detected
+// since this one began is not probed again. It returns false if ctx ends while another
+// call probes.
+func (r *Run) DetectCrash(ctx context.Context) bool {
+	c, isFirst := r.joinCrash()
 	if isFirst {
-		m.probeCrash(ctx, c)
+		r.probeCrash(ctx, c)
 	}
 	select {
 	case <-c.done:
@@ -112,19 +124,22 @@
 	}
 }
 
-// joinCrash returns the pending crash, or starts one with the runs in flight and
-// returns true.
-func (m *Monitor) joinCrash() (c *crash, isFirst bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.pendingCrash != nil {
-		return m.pendingCrash, false
+// joinCrash returns the crash that was detected since the run began, or the pending one,
+// or starts one with the runs in flight and returns true.
+func (r *Run) joinCrash() (c *crash, isFirst bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.crashes != r.crashesBefore {
+		return r.latestCrash, false
+	}
+	if r.pendingCrash != nil {
+		return r.pendingCrash, false
 	}
-	c = &crash{isolated: m.isolated, done: make(chan struct{})}
-	for key := range m.inFlight {
+	c = &crash{isolated: r.isolated, done: make(chan struct{})}
+	for key := range r.inFlight {
 		c.inFlight = append(c.inFlight, key)
 	}
-	m.pendingCrash = c
+	r.pendingCrash = c
 	return c, true
 }
 
@@ -136,6 +151,7 @@
 	m.pendingCrash = nil
 	if c.crashed {
 		m.crashes++
+		m.latestCrash = c
 		m.lastSuspects = m.newSuspects(c)
 		m.boot = boot
 	}
