Isolator: a caller that leaves during the probe is no crash

What would be seen: after a broken connection, the caller of the run that probes the backend server leaves; the probe fails with its context, which counted as a server that does not answer. All runs in flight became suspects, or the isolated one a culprit, and the culprit's callers were refused for five minutes.

Evidence: TestCancelledProbeIsNoCrash failed before: DetectCrash returned true for a server that answers with its old boot ID.

Fix: the probe does not end with the context of one caller. It bounds itself (healthTimeout).

--- a/internal/suspect/isolator/watch.go
+++ b/internal/suspect/isolator/watch.go
@@ -20,7 +20,7 @@
 var ErrOccupied = errors.New("backend server runs another suspect")
 
 // Probe returns the boot ID of the backend server, which changes with each restart,
-// or an error if the backend server does not answer.
+// or an error if the backend server does not answer within the probe's own timeout.
 type Probe func(ctx context.Context) (boot string, err error)
 
 // Monitor tracks the runs on a backend server and detects its crashes; it is safe
@@ -144,7 +144,9 @@
 }
 
 func (m *Monitor) probeCrash(ctx context.Context, c *crash) {
-	boot, err := m.probe(ctx)
+	// The probe bounds itself. It is made for all runs of the crash, and the caller of this
+	// one may leave meanwhile.
+	boot, err := m.probe(context.WithoutCancel(ctx))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c.crashed = err != nil || m.boot != "" && boot != m.boot
--- a/internal/suspect/isolator/watch_test.go
+++ b/internal/suspect/isolator/watch_test.go
@@ -65,3 +65,15 @@
 	_, err = m.StartRun([]byte("b"), true)
 	c.Assert(err, qt.IsNil)
 }
+
+// A caller that leaves while its run probes must not make suspects of all other runs.
+func TestCancelledProbeIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	m := newTestMonitor("1")
+	ctx, cancel := context.WithCancel(c.Context())
+	cancel()
+	c.Assert(startRun(c, m, "a").DetectCrash(ctx), qt.IsFalse)
+	crashes, suspects := m.GetCrashes()
+	c.Assert(crashes, qt.Equals, uint64(0))
+	c.Assert(suspects, qt.HasLen, 0)
+}
