Isolator: a restart without runs in flight is no crash of the next run

What would be seen: a backend server is restarted while idle, as on each release. The first connection that breaks afterwards, for whatever reason, counted as a crash, and the runs in flight became suspects: the monitor kept the boot ID of its first health check.

Evidence: TestRestartWithoutRunsIsNoCrash failed before: DetectCrash returned true.

Fix: without runs in flight, the health check's boot ID replaces the recorded one. With runs in flight it is kept, since they detect a crash by it (TestCrashSeenByHealthCheckFirstIsNotOverlooked). A restart between two health checks of a server that always has runs in flight still counts, and is one.

--- a/internal/suspect/isolator/watch.go
+++ b/internal/suspect/isolator/watch.go
@@ -33,8 +33,8 @@
 	inFlight map[string]int
 	// isolated is the digest of the suspect in flight, empty if there is none.
 	isolated string
-	// boot is the first boot ID reported since the start or the latest crash, empty
-	// before that.
+	// boot is the boot ID with which the runs in flight began, empty before the first
+	// health check and after a crash.
 	boot    string
 	crashes uint64
 	// pendingCrash is the presumed crash that is being probed, nil if there is none.
@@ -97,11 +97,12 @@
 	}
 }
 
-// SetBoot records the boot ID seen by a health check, unless one is already recorded.
+// SetBoot records the boot ID seen by a health check. With runs in flight, it keeps the
+// one already recorded, by which they detect a crash.
 func (m *Monitor) SetBoot(boot string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.boot == "" {
+	if m.boot == "" || len(m.inFlight) == 0 {
 		m.boot = boot
 	}
 }
--- a/internal/suspect/isolator/watch_test.go
+++ b/internal/suspect/isolator/watch_test.go
@@ -77,3 +77,11 @@
 	c.Assert(crashes, qt.Equals, uint64(0))
 	c.Assert(suspects, qt.HasLen, 0)
 }
+
+// A restart between two runs is no crash of the second one.
+func TestRestartWithoutRunsIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	m := newTestMonitor("2")
+	m.SetBoot("2")
+	c.Assert(startRun(c, m, "a").DetectCrash(c.Context()), qt.IsFalse)
+}
