Connector: links whose dial never succeeded are removed as idle

Seen: the pool of an entry kept one link for each address that it had never reached, as of instances replaced before the first call, for the life of the process. Cause: closeIdle took a link without a session for one that is being dialed. A dial holds the link's lock, which closeIdle tries first, so a link without a session is unused there. Evidence: TestIdleLinkStaysWhenDialNeverSucceeded fails on the old code: one link left after a refused dial and CloseIdle(0). Change: such a link is marked as removed and leaves the map; a caller that waits for it gets a new one.

--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -268,14 +268,18 @@
 	}
 }
 
-// closeIdle closes the session if it is idle, and reports whether it did. A session
-// that is being dialed is not idle.
+// closeIdle closes the session if it is idle, and reports whether the link is to be
+// removed. A link without a session is removed unless it is being dialed.
 func (l *link) closeIdle(minIdle time.Duration) bool {
 	if !l.mu.TryLock() {
 		return false
 	}
 	defer l.mu.Unlock()
-	if l.session == nil || !l.session.isIdle(minIdle) {
+	if l.session == nil {
+		l.isRemoved = true
+		return true
+	}
+	if !l.session.isIdle(minIdle) {
 		return false
 	}
 	l.isRemoved = true
--- a/internal/wire/connector/connector_test.go
+++ b/internal/wire/connector/connector_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -155,6 +156,20 @@
 	c.Assert(open.Load(), qt.Equals, int64(0))
 }
 
+// The pool kept a link for each address that it had never reached.
+func TestIdleLinkStaysWhenDialNeverSucceeded(t *testing.T) {
+	c := qt.New(t)
+	errDial := errors.New("refused")
+	pool := NewPool(newHello("client"), WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
+		return nil, errDial
+	}))
+	defer pool.Close()
+	addr := netip.MustParseAddrPort("127.0.0.1:1")
+	c.Assert(pool.Call(t.Context(), addr, newOpen(1), &encoder.ConfigSync{}), qt.ErrorIs, errDial)
+	pool.CloseIdle(0)
+	c.Assert(len(pool.links), qt.Equals, 0)
+}
+
 func TestVersionMismatchFailsWithStepAndPeer(t *testing.T) {
 	c := qt.New(t)
 	addr, stop := serve(c, echo)
