Store: do not return the part of an object as the whole

An object over 64 MiB, or one whose bytes never end, was returned cut at 64 MiB without an error: whoever read a recorded answer or a saved history got a part and took it for the whole. The client stopped reading at its bound, which is no error, and objects are not decoded. Heads were read up to 10 MiB.

The client now uses limiter.Transport with limiter.MaxAnswerBytes, the same 64 MiB, so the call fails with limiter.ErrTooLarge, the connection is closed, and there is one line answer_too_large, step platform_call.

Evidence: on the old code TestCutObjectIsReturnedAsWhole fails for a body with "got nil error but want non-nil" and 67,108,864 bytes of data, and for a head with "server response headers exceeded bytes". Both pass now.

--- a/internal/store/storer/client.go
+++ b/internal/store/storer/client.go
@@ -12,12 +12,10 @@
 	"strconv"
 	"time"
 
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/fault/wrapper"
 )
 
-// maxReplyBytes bounds what is read of one reply from the platform.
-const maxReplyBytes = 64 << 20
-
 // Client calls the platform with JSON over HTTP.
 type Client struct {
 	base   string
@@ -34,9 +32,10 @@
 
 // NewClient returns a Client for the platform at addr.
 func NewClient(addr netip.AddrPort, opts ...Option) *Client {
+	transport := limiter.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64}, "platform_call", limiter.MaxAnswerBytes)
 	c := &Client{
 		base:   "http://" + addr.String(),
-		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		client: &http.Client{Timeout: 2 * time.Second, Transport: transport},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -97,7 +96,7 @@
 		return wrapper.At("platform_call", c.base, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	data, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return wrapper.At("platform_read", c.base, err)
 	}
