Agent: log and count an answer that is too large to be recorded

The answer to a request that must not run twice is bounded by 4 MiB, and the attempt is refused with its outcome unknown. Nothing was logged or counted, so an operator could not tell a server that floods from one that breaks off.

Such an answer is now read through a limiter.Reader: one line answer_too_large, step record_answer, and the counter of that step.

Evidence: on the old code TestAnswerWithoutEndLooksComplete fails at endless_test.go:155 for the body to record, counter 0, want 1. It passes now for bodies and streams without end at limiter.MaxAnswerBytes, for an answer to record at 4 MiB and for a line of an event at limiter.MaxEventBytes: each attempt ends with answer_broken, execution unknown, and the server's connection is closed. An answer of exactly 4 MiB is recorded (TestRecordedAnswerOfMaximumSizeFails).

--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -27,10 +27,7 @@
 // doneEvent is the end marker of a complete stream.
 const doneEvent = "data: [DONE]"
 
-var (
-	errTruncated = errors.New("stream ended without its end marker")
-	errTooLarge  = errors.New("answer is too large")
-)
+var errTruncated = errors.New("stream ended without its end marker")
 
 // send writes an event after the buffered ones. The last event of an attempt also
 // carries the load, the time in the queue and the row state.
@@ -172,13 +169,7 @@
 	return errTruncated
 }
 
-func readBounded(r io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(data) > maxAnswerBytes {
-		return nil, errTooLarge
-	}
-	return data, nil
+// readWhole reads an answer that is to be recorded.
+func (a *attempt) readWhole(body io.ReadCloser) ([]byte, error) {
+	return io.ReadAll(limiter.NewReader(body, maxAnswerBytes, a.newSource("record_answer")))
 }
--- a/internal/agent/server/endless_test.go
+++ b/internal/agent/server/endless_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -8,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
 	"siskinfall/internal/agent/driver"
@@ -111,3 +113,62 @@
 		c.Assert(ev.GetRefusal(), qt.IsNil)
 	}
 }
+
+// writeWithoutEnd writes blocks to w until the agent closes the connection.
+func writeWithoutEnd(w http.ResponseWriter, block string) {
+	for {
+		if _, err := io.WriteString(w, block); err != nil {
+			return
+		}
+	}
+}
+
+// TestAnswerWithoutEndLooksComplete guards against ending an answer without end, or one that
+// is cut at its bound, as complete.
+func TestAnswerWithoutEndLooksComplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		contentType, block string
+		idempotent         bool
+		step               string
+		bound              int
+	}{
+		"body":             {"text/plain", strings.Repeat("a", chunkSize), true, "backend_call", limiter.MaxAnswerBytes},
+		"events":           {"text/event-stream", newEvent(chunkSize), true, "backend_call", limiter.MaxAnswerBytes},
+		"body to record":   {"text/plain", strings.Repeat("a", chunkSize), false, "record_answer", maxAnswerBytes},
+		"line of an event": {"text/event-stream", strings.Repeat("a", chunkSize), true, "read_event", limiter.MaxEventBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			before := tooLargeCount(test.step)
+			ta := newTestAgent(c)
+			ended := make(chan struct{})
+			ta.serveBackend(c, func(w http.ResponseWriter, _ *http.Request) {
+				defer close(ended)
+				w.Header().Set("Content-Type", test.contentType)
+				writeWithoutEnd(w, test.block)
+			})
+			last, n := ta.measure(c, newRun("a.1", test.idempotent))
+			c.Assert(last.GetRefusal().GetCode(), qt.Equals, encoder.CodeAnswerBroken)
+			c.Assert(last.GetRefusal().GetExecution(), qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
+			c.Assert(n <= test.bound, qt.IsTrue)
+			<-ended
+			c.Assert(tooLargeCount(test.step), qt.Equals, before+1)
+		})
+	}
+}
+
+func tooLargeCount(step string) uint64 {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_answers_too_large_total{step=%q}`, step)).Get()
+}
+
+// TestRecordedAnswerOfMaximumSizeFails guards against a bound that drops a proper answer.
+func TestRecordedAnswerOfMaximumSizeFails(t *testing.T) {
+	c := qt.New(t)
+	ta := newTestAgent(c)
+	ta.serveBackend(c, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("a", maxAnswerBytes))
+	})
+	last, n := ta.measure(c, newRun("a.1", false))
+	c.Assert(last.GetEnd(), qt.IsNotNil)
+	c.Assert(n, qt.Equals, maxAnswerBytes)
+}
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -314,7 +314,7 @@
 	if err := a.checkAttemptID(answer); err != nil {
 		return nil, err
 	}
-	body, err := readBounded(answer.Body)
+	body, err := a.readWhole(answer.Body)
 	if err != nil {
 		return nil, err
 	}
