Gateway: close idle connections on which a server sends

A server that goes on sending after a complete answer kept its connection, with the receive buffer full, until the next request for it or until its idle timeout, up to 9 s later, and nothing was logged. A connection that the server had closed stayed as long, and counted against the limit of connections to that server.

Pool.Prune, which runs twice a second, now closes idle connections that can't be reused, by the check that Get makes. Bytes after an answer are one line unread_bytes for each connection and siskinfall_backend_unread_bytes_total.

Evidence: on the old code TestPruneKeepsConnectionWithUnreadBytes fails for unread bytes and for a closed connection at dialer_test.go:78, one open connection, want none. It passes now, with -count=5, too.

--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/fault/wrapper"
@@ -44,7 +45,10 @@
 	readBufferSize = 2 << 10
 )
 
-var dialCount = metrics.NewCounter("siskinfall_backend_dials_total")
+var (
+	dialCount   = metrics.NewCounter("siskinfall_backend_dials_total")
+	unreadCount = metrics.NewCounter("siskinfall_backend_unread_bytes_total")
+)
 
 // Key identifies the server of a connection. A server that takes over the address of
 // another has a different key.
@@ -143,7 +147,7 @@
 		if !ok {
 			break
 		}
-		if isReusable(c.Conn) && c.Reader.Buffered() == 0 {
+		if c.isReusable() {
 			c.Reused = true
 			return c, nil
 		}
@@ -186,6 +190,7 @@
 // with unread bytes.
 func (p *Pool) Put(c *Conn) {
 	if c.Reader.Buffered() > 0 {
+		c.reportUnreadBytes()
 		_ = c.Close()
 		return
 	}
@@ -205,14 +210,14 @@
 }
 
 // Prune closes the idle connections to servers that are no longer in use, and those that
-// have been idle for too long.
+// have been idle for too long or can't be reused.
 func (p *Pool) Prune(inUse func(Key) bool, now time.Time) {
 	var closing []*Conn
 	p.mu.Lock()
 	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if inUse(key) && now.Sub(c.idleSince) < time.Duration(float64(c.idleTimeout)*maxIdleFraction) {
+			if inUse(key) && now.Sub(c.idleSince) < time.Duration(float64(c.idleTimeout)*maxIdleFraction) && c.isReusable() {
 				kept = append(kept, c)
 				continue
 			}
@@ -231,8 +236,8 @@
 
 // isReusable reports whether the server has neither closed an idle connection nor sent
 // unexpected bytes on it.
-func isReusable(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
+func (c *Conn) isReusable() bool {
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -240,12 +245,22 @@
 	if err != nil {
 		return false
 	}
-	reusable := false
+	unread, reusable := 0, false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		reusable = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread, reusable = n, errors.Is(err, syscall.EAGAIN)
 		return true
 	})
+	if unread > 0 {
+		c.reportUnreadBytes()
+	}
 	return err == nil && reusable
 }
+
+// reportUnreadBytes logs and counts a connection that is closed because the server has
+// sent bytes after a complete answer.
+func (c *Conn) reportUnreadBytes() {
+	unreadCount.Inc()
+	log.Warn("server sent bytes after its answer", "event", "unread_bytes", "server", c.key.ID, "address", c.key.Addr)
+}
--- a/internal/backend/dialer/dialer_test.go
+++ b/internal/backend/dialer/dialer_test.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -40,3 +43,40 @@
 		c.Assert(conn.n, qt.Equals, limiter.MaxHeadBytes)
 	}
 }
+
+// TestPruneKeepsConnectionWithUnreadBytes guards against keeping an idle connection on which
+// a server sends without end, or that it has closed, until the next request.
+func TestPruneKeepsConnectionWithUnreadBytes(t *testing.T) {
+	for name, end := range map[string]func(conn net.Conn) error{
+		"bytes": func(conn net.Conn) error {
+			_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\n"))
+			return err
+		},
+		"closed": func(conn net.Conn) error { return conn.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(func() { _ = ln.Close() })
+			pool := NewPool()
+			key := Key{ID: "i-1", Addr: netip.MustParseAddrPort(ln.Addr().String())}
+			conn, err := pool.Get(t.Context(), key, 1)
+			c.Assert(err, qt.IsNil)
+			server, err := ln.Accept()
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(func() { _ = server.Close() })
+			pool.Put(conn)
+			all := func(Key) bool { return true }
+			pool.Prune(all, time.Now())
+			c.Assert(pool.open[key], qt.Equals, 1)
+			c.Assert(end(server), qt.IsNil)
+			for conn.isReusable() {
+				runtime.Gosched()
+			}
+			pool.Prune(all, time.Now())
+			c.Assert(pool.open, qt.HasLen, 0)
+			c.Assert(pool.idle, qt.HasLen, 0)
+		})
+	}
+}
