Agent: bound the requests of the local engine

A request of an engine to its agent, to begin or confirm a step or with a sample, was decoded without a limit: an engine that never ends its body, or another process on the instance, could fill the agent's memory.

Such a body now has 1 MiB, three times the largest sample. Beyond it the request gets 400, its connection is closed by net/http, and one line answer_too_large, step engine_request, names the sender's address.

Evidence: on the old code TestEngineRequestWithoutEndIsReadInFull fails at endless_test.go:187 for a body of one byte over the limit, which is accepted; it passes now, and so does a body of exactly the limit.

--- a/internal/agent/server/endless_test.go
+++ b/internal/agent/server/endless_test.go
@@ -14,6 +14,7 @@
 
 	"siskinfall/internal/agent/driver"
 	"siskinfall/internal/backend/limiter"
+	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/wire/encoder"
 )
 
@@ -172,3 +173,18 @@
 	c.Assert(last.GetEnd(), qt.IsNotNil)
 	c.Assert(n, qt.Equals, maxAnswerBytes)
 }
+
+// TestEngineRequestWithoutEndIsReadInFull guards against collecting a request of the engine
+// in memory until it stops.
+func TestEngineRequestWithoutEndIsReadInFull(t *testing.T) {
+	for name, size := range map[string]int{"at the limit": maxEngineRequestBytes, "over the limit": maxEngineRequestBytes + 1} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var sample follower.Sample
+			body := strings.Repeat(" ", size-len("{}")) + "{}"
+			w := httptest.NewRecorder()
+			ok := decode(w, httptest.NewRequest(http.MethodPost, PathSample, strings.NewReader(body)), &sample)
+			c.Assert(ok, qt.Equals, size == maxEngineRequestBytes)
+		})
+	}
+}
--- a/internal/agent/server/engine.go
+++ b/internal/agent/server/engine.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/expert/follower"
 	"siskinfall/internal/expert/planner"
 )
@@ -100,8 +102,17 @@
 	}
 }
 
+// maxEngineRequestBytes is three times the size of a sample with 20-digit counts for 128
+// layers of 128 experts.
+const maxEngineRequestBytes = 1 << 20
+
+// decode decodes an engine's request, or answers that it can't and reports false.
 func decode(w http.ResponseWriter, r *http.Request, out any) bool {
-	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEngineRequestBytes)).Decode(out)
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		limiter.Report(limiter.Source{Server: r.RemoteAddr, Step: "engine_request"}, tooLarge.Limit)
+	}
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
--- a/internal/backend/limiter/limiter.go
+++ b/internal/backend/limiter/limiter.go
@@ -37,8 +37,8 @@
 	Step string
 }
 
-// Report logs and counts an answer that exceeds a bound in bytes.
+// Report logs and counts an answer, or a request of an engine, that exceeds a bound in bytes.
 func Report(src Source, bound int64) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_answers_too_large_total{step=%q}`, src.Step)).Inc()
-	log.Warn("answer exceeds the size limit", "event", "answer_too_large", "request", src.Request, "server", src.Server, "step", src.Step, "bytes", bound)
+	log.Warn("size limit exceeded", "event", "answer_too_large", "request", src.Request, "server", src.Server, "step", src.Step, "bytes", bound)
 }
