Gateway: reuse idle connections whose last read deadline has passed

On routes with a patience, an idle connection was given up as soon as the deadline of the next event of its last answer had passed, and a new one was opened for the next request. The read deadline stays on the connection, and with an expired one the check for unread bytes fails, as if the server had closed it. Pruning would close such connections now, too.

Pool.Put resets the deadline; each attempt sets its own before it reads.

Evidence: on the old code TestReadDeadlineOfLastAnswerEndsReuse fails at dialer_test.go:100, a new connection instead of the idle one, also without its call of Prune. It passes now.

--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -194,6 +194,11 @@
 		_ = c.Close()
 		return
 	}
+	// With an expired deadline, the check for reuse would fail.
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		_ = c.Close()
+		return
+	}
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/backend/dialer/dialer_test.go
+++ b/internal/backend/dialer/dialer_test.go
@@ -80,3 +80,23 @@
 		})
 	}
 }
+
+// TestReadDeadlineOfLastAnswerEndsReuse guards against giving up a sound idle connection
+// because the deadline of an answer on it has passed since.
+func TestReadDeadlineOfLastAnswerEndsReuse(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = ln.Close() })
+	pool := NewPool()
+	key := Key{ID: "i-1", Addr: netip.MustParseAddrPort(ln.Addr().String())}
+	conn, err := pool.Get(t.Context(), key, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now()), qt.IsNil)
+	pool.Put(conn)
+	pool.Prune(func(Key) bool { return true }, time.Now())
+	again, err := pool.Get(t.Context(), key, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again, qt.Equals, conn)
+	c.Assert(again.Close(), qt.IsNil)
+}
