Gateway: retry a rejected request before its rejection has ended

A rejection says in its head that the request has not run. The gateway still read its body before it went on, up to the request's deadline: a server that stalled in that body, or sent it slowly without end, cost a request that another server could have answered, and the caller got 503 at its deadline.

The wait for the body of a rejection is now bounded by 100 ms; then the connection is closed and the request goes on as not run. Late answers to other requests are read as before, since this request's answer follows them.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -148,7 +148,7 @@
 	switch {
 	case a.NotRun:
 		out := &notRun{Answer: a.Answer, status: a.resp.StatusCode}
-		a.release(x.discardBody(a.conn, a.resp) == nil, x.pool)
+		a.release(x.discardRejection(a) == nil, x.pool)
 		return out
 	case !a.Signed && a.resp.StatusCode < http.StatusBadRequest:
 		a.release(false, x.pool)
--- a/internal/gateway/forwarder/limit.go
+++ b/internal/gateway/forwarder/limit.go
@@ -10,6 +10,19 @@
 	"siskinfall/internal/gateway/placer"
 )
 
+// maxRejectionTime bounds the wait for the body of a rejection. Servers send a rejection in
+// one packet, and opening another connection takes a few milliseconds.
+const maxRejectionTime = 100 * time.Millisecond
+
+// discardRejection reads the body of a rejection, so that the connection can be reused. It
+// gives up early, since another server can have the request meanwhile.
+func (x *exchange) discardRejection(a *answered) error {
+	if err := a.conn.SetReadDeadline(time.Now().Add(maxRejectionTime)); err != nil {
+		return err
+	}
+	return x.discardBody(a.conn, a.resp)
+}
+
 // discardBody reads the body of an answer that is not relayed, so that the connection can
 // be reused. It returns limiter.ErrTooLarge for one that reaches maxStrayBytes.
 func (x *exchange) discardBody(conn *dialer.Conn, resp *http.Response) error {
