--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -185,7 +185,7 @@
 
 // readAnswer reads a complete answer to a non-idempotent request.
 func (a *attempt) readAnswer(answer *driver.Answer) ([]byte, error) {
-	body, err := io.ReadAll(limiter.NewReader(answer.Body, maxAnswerBytes, a.newSource("read_answer")))
+	body, err := io.ReadAll(limiter.NewReader(answer.Body, maxAnswerBytes, a.newSource("record_answer")))
 	if err != nil || !answer.Stream {
 		return body, err
 	}
