Gateway: a resumption that shows no number does not continue a stream

What callers saw: the events of a second run, or an error event, after those of the first, in one answer that ended as complete. Found by the review of the fix; as old as the resumption of streams.

Cause: events without a number are relayed as they come. For the first run that is right; of a second one it can't be told whether the caller has them.

Fix: until an event of the resumed stream has a number above those relayed, an event with data and without a number ends the attempt as a failed resumption.

--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -125,6 +125,7 @@
 // first event, so that a stream that never begins can be retried elsewhere.
 func (x *exchange) relayStream(ctx context.Context, p *placer.Placed, a *answered) nextAction {
 	events := newEventReader(a.resp.Body, x.sourceOf(a.conn, "read_event"))
+	resumedAfter := x.lastEvent
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -138,6 +139,10 @@
 			// A resumed stream may begin with events that the caller has.
 			continue
 		}
+		if resumedAfter > 0 && x.lastEvent == resumedAfter && id == 0 && hasData(event) {
+			// No number has shown yet that the stream goes on where the caller is.
+			return x.handleFailedResumption(p, a, errNotContinued)
+		}
 		x.extendEventDeadline(time.Now())
 		if err := a.conn.SetReadDeadline(x.eventDeadline); err != nil {
 			a.release(false, x.pool)
--- a/internal/gateway/forwarder/reply.go
+++ b/internal/gateway/forwarder/reply.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"mime"
 	"net/http"
 
@@ -43,6 +44,11 @@
 	return resp.StatusCode == p.status && getMediaType(resp.Header) == getMediaType(p.Header())
 }
 
+// newMismatch says why an answer does not continue this one.
+func (p *reply) newMismatch(resp *http.Response) error {
+	return fmt.Errorf("%w: status %d and type %q after %d and %q", errNotContinued, resp.StatusCode, resp.Header.Get("Content-Type"), p.status, p.Header().Get("Content-Type"))
+}
+
 // getMediaType returns the content type without parameters, or as it is if it is malformed.
 func getMediaType(h http.Header) string {
 	value := h.Get("Content-Type")
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -154,7 +153,7 @@
 	case *answered:
 		switch {
 		case x.w.hasBegun() && !x.w.isContinuedBy(out.resp):
-			return x.handleFailedResumption(p, out)
+			return x.handleFailedResumption(p, out, x.w.newMismatch(out.resp))
 		case x.route.Kind == holder.Streaming && out.resp.StatusCode == http.StatusOK:
 			return x.relayStream(ctx, p, out)
 		}
@@ -177,12 +176,13 @@
 	return retry{sent: true, fallback: failure{status: http.StatusServiceUnavailable, reason: "refused by the backend server", retryAfter: failureRetryAfter}}
 }
 
+var errNotContinued = errors.New("answer does not continue the one that has begun")
+
 // handleFailedResumption handles an answer that does not continue the one that has begun.
 // Nothing of it is relayed.
-func (x *exchange) handleFailedResumption(p *placer.Placed, a *answered) nextAction {
+func (x *exchange) handleFailedResumption(p *placer.Placed, a *answered, err error) nextAction {
 	a.release(x.discardBody(a.conn, a.resp) == nil, x.pool)
 	p.Finish(placer.Failed, time.Now())
-	err := fmt.Errorf("status %d, content type %q, want %d, %q", a.resp.StatusCode, a.resp.Header.Get("Content-Type"), x.w.status, x.w.Header().Get("Content-Type"))
 	x.logAttempt(p, "resumption failed", wrapper.At("resume_stream", p.ID, err))
 	return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "resumption failed by the backend server"}}
 }
