Gateway: a failed resumption does not hold its caller

Cause: the body of the failure was read, so that its connection could be reused, before anything else was done for the caller.

Evidence: TestFailedResumptionDoesNotHoldCaller failed before: the caller's own 20 s ended first.

Fix: the connection is closed. A failed resumption is too rare for a new connection to matter.

Measured: the test passes with -race, as do those of resumptions and failures.

--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -179,9 +179,9 @@
 var errNotContinued = errors.New("answer does not continue the one that has begun")
 
 // handleFailedResumption handles an answer that does not continue the one that has begun.
-// Nothing of it is relayed.
+// Nothing of it is relayed, and the caller does not wait for the rest of it.
 func (x *exchange) handleFailedResumption(p *placer.Placed, a *answered, err error) nextAction {
-	a.release(x.discardBody(a.conn, a.resp) == nil, x.pool)
+	a.release(false, x.pool)
 	p.Finish(placer.Failed, time.Now())
 	x.logAttempt(p, "resumption failed", wrapper.At("resume_stream", p.ID, err))
 	return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "resumption failed by the backend server"}}
