Gateway: a resumption goes on after what the answer has, not after what the caller had

What callers saw: a caller resumes at an event, its server starts over and breaks; the answer then lacked the events between, and ended as complete.

Cause: a resumption named the larger of the caller's Last-Event-Id and the last event relayed.

Evidence: TestGapIsNotLeftAfterServerThatStartsOver failed before: events 1 to 3, then 13 and 14.

Fix: once this answer has an event, its number counts.

Measured: the test passes with -race, as do those of streams and resumptions.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -176,7 +176,7 @@
 // newRequest returns the request to be sent to the server.
 func (x *exchange) newRequest(p *placer.Placed) *http.Request {
 	h := copyHeaders(x.r.Header)
-	out := Outbound{ServerID: p.ID, Timeout: time.Until(x.deadline), LastEventID: max(x.lastEvent, x.LastEventID), Priority: -1}
+	out := Outbound{ServerID: p.ID, Timeout: time.Until(x.deadline), LastEventID: x.getLastEventID(), Priority: -1}
 	if x.account != nil {
 		out.Account = x.account.Name
 	}
@@ -196,6 +196,15 @@
 	return req
 }
 
+// getLastEventID returns the number after which a server is to go on. The caller's own
+// applies until this answer has an event: its server may not have honoured it.
+func (x *exchange) getLastEventID() int {
+	if x.lastEvent > 0 {
+		return x.lastEvent
+	}
+	return x.LastEventID
+}
+
 // writeRequest sends the request in a single write.
 func (x *exchange) writeRequest(conn *dialer.Conn, req *http.Request) error {
 	var buf bytes.Buffer
