Gateway: an event whose number does not rise breaks the stream

What callers saw: a stream that lacked an event and ended as complete, from a server that numbered two events alike. Found by the review; numbers must rise, so it takes a faulty server.

Cause: the check that skips what a resumed stream repeats held for every event of every run, not only up to where the run was resumed.

Fix: only a resumed stream skips, up to the number after which it was resumed. Any other number that does not rise ends the attempt; the stream may be resumed elsewhere. The three rules stand in checkOrder.

--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -121,6 +121,8 @@
 	return x.w.sendHead(resp.StatusCode)
 }
 
+var errEventOrder = errors.New("number of an event does not rise")
+
 // relayStream relays an event stream event by event. The head is held back until the
 // first event, so that a stream that never begins can be retried elsewhere.
 func (x *exchange) relayStream(ctx context.Context, p *placer.Placed, a *answered) nextAction {
@@ -131,22 +133,22 @@
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return x.finishStream(p, a)
 		}
-		if err != nil {
-			a.release(false, x.pool)
-			return x.handleUnknown(ctx, p, err)
-		}
-		if id > 0 && id <= x.lastEvent {
-			// A resumed stream may begin with events that the caller has.
-			continue
+		skip := false
+		if err == nil {
+			skip, err = x.checkOrder(event, id, resumedAfter)
 		}
-		if resumedAfter > 0 && x.lastEvent == resumedAfter && id == 0 && hasData(event) {
-			// No number has shown yet that the stream goes on where the caller is.
-			return x.handleFailedResumption(p, a, errNotContinued)
+		if err == nil && !skip {
+			x.extendEventDeadline(time.Now())
+			err = a.conn.SetReadDeadline(x.eventDeadline)
 		}
-		x.extendEventDeadline(time.Now())
-		if err := a.conn.SetReadDeadline(x.eventDeadline); err != nil {
+		switch {
+		case errors.Is(err, errNotContinued):
+			return x.handleFailedResumption(p, a, err)
+		case err != nil:
 			a.release(false, x.pool)
 			return x.handleUnknown(ctx, p, err)
+		case skip:
+			continue
 		}
 		if err := x.relayEvent(a.resp, event, id); err != nil {
 			a.release(false, x.pool)
@@ -161,6 +163,21 @@
 	}
 }
 
+// checkOrder checks an event of a stream that was resumed after an event, 0 for none. It
+// returns true for an event that the caller has, with which a resumed stream may begin.
+func (x *exchange) checkOrder(event []byte, id, resumedAfter int) (skip bool, err error) {
+	switch {
+	case id > 0 && id <= resumedAfter:
+		return true, nil
+	case id > 0 && id <= x.lastEvent:
+		return false, errEventOrder
+	case id == 0 && resumedAfter > 0 && resumedAfter == x.lastEvent && hasData(event):
+		// No number has shown yet that the stream goes on where the caller is.
+		return false, errNotContinued
+	}
+	return false, nil
+}
+
 // relayEvent relays one event. Within one answer, including its resumptions on other
 // servers, no event is relayed twice.
 func (x *exchange) relayEvent(resp *http.Response, event []byte, id int) error {
