Gateway: an unmarked 408, 429 or 503 to an order is no promise

What callers saw: a server's 408, 429 or 503 without the mark that it did not run the order was passed on. To the caller these statuses say that the order has not run and may be sent again. Found by the review of the fix; as old as the gateway.

Evidence: TestUnmarkedFailureDoesNotPromiseNotRun failed in six of eight cases before, with and without the server's stamp.

Fix: such an answer to a request that may not be repeated is replaced by 502, without the stamp. Requests that may be repeated get it as before, after their retries.

Measured: the test passes with -race, as do the gateway's other tests of requests.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -52,6 +52,7 @@
 
 var (
 	errUnsigned    = errors.New("answer is not signed by a backend server")
+	errUnmarked    = errors.New("status says not run, but the server did not mark the answer so")
 	errStrayAnswer = errors.New("answer belongs to another request")
 )
 
@@ -154,6 +155,9 @@
 	case !a.Signed && a.resp.StatusCode < http.StatusBadRequest:
 		a.release(false, x.pool)
 		return &unknown{err: wrapper.At("check_answer", p.ID, errUnsigned)}
+	case promisesNotRun(a.resp.StatusCode) && !x.route.IsRepeatable():
+		a.release(false, x.pool)
+		return &unknown{err: wrapper.At("check_answer", p.ID, errUnmarked)}
 	}
 	if err := x.limitBody(a); err != nil {
 		a.release(false, x.pool)
