Agent: an event stream without a body needs no end marker

What callers saw: HEAD requests and answers of status 204 or 304 with the type of an event stream were refused as broken; for orders, which had run, with an unknown outcome.

Evidence: TestStreamWithoutBodyIsNotRefused failed in all six cases before.

Fix: such an answer is no stream. HasBody stands once, for agent and entry.

Measured: go test -race of agent and entry passes.

--- a/internal/agent/driver/driver.go
+++ b/internal/agent/driver/driver.go
@@ -139,7 +139,7 @@
 			a.Headers = append(a.Headers, &encoder.Header{Name: name, Value: v})
 		}
 	}
-	a.Stream = encoder.IsEventStream(resp.Header.Get("Content-Type"))
+	a.Stream = encoder.IsEventStream(resp.Header.Get("Content-Type")) && encoder.HasBody(resp.Request.Method, resp.StatusCode)
 	return a
 }
 
--- a/internal/agent/server/answer_test.go
+++ b/internal/agent/server/answer_test.go
@@ -197,3 +197,25 @@
 		}
 	}
 }
+
+// An answer without a body has no end marker, whatever its content type.
+func TestStreamWithoutBodyIsNotRefused(t *testing.T) {
+	c := qt.New(t)
+	answers := map[string]string{
+		"head":        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+		"no content":  "HTTP/1.1 204 X\r\nContent-Type: text/event-stream\r\n\r\n",
+		"not changed": "HTTP/1.1 304 X\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\n",
+	}
+	for name, answer := range answers {
+		for kind, idempotent := range map[string]bool{"lookup": true, "order": false} {
+			c.Run(name+" "+kind, func(c *qt.C) {
+				run := newRun(kind, idempotent)
+				if name == "head" {
+					run.Method = http.MethodHead
+				}
+				last, _ := newRawAgent(c, answer).run(c, run)
+				c.Assert(last.GetEnd(), qt.IsNotNil, qt.Commentf("%v", last))
+			})
+		}
+	}
+}
--- a/internal/entry/server/response.go
+++ b/internal/entry/server/response.go
@@ -41,7 +41,7 @@
 			r.w.Header().Set(h.GetName(), h.GetValue())
 		}
 	}
-	r.stream = head.IsEventStream() && r.hasBody(int(head.GetStatus()))
+	r.stream = head.IsEventStream() && encoder.HasBody(r.method, int(head.GetStatus()))
 	if head.GetReplayed() {
 		r.w.Header().Set(headerReplayed, "true")
 	}
@@ -49,11 +49,6 @@
 	return nil
 }
 
-// hasBody reports whether an answer with a final status has a body.
-func (r *response) hasBody(status int) bool {
-	return r.method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // SendData implements dispatcher.Sink.
 func (r *response) SendData(data []byte) error {
 	if _, err := r.w.Write(data); err != nil {
--- a/internal/wire/encoder/head.go
+++ b/internal/wire/encoder/head.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"mime"
+	"net/http"
 )
 
 // HeaderAttemptID carries the ID of an attempt to a backend server and back. It is not
@@ -31,6 +32,11 @@
 	return mediaType == typeEventStream
 }
 
+// HasBody reports whether the answer with a final status to a request has a body.
+func HasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // IsSameAs reports whether two heads are the same for a caller.
 func (h *Head) IsSameAs(other *Head) bool {
 	return h.GetStatus() == other.GetStatus() && maps.Equal(h.forCaller(), other.forCaller())
