Gateway: do not quarantine a request for answers without end

A request that met servers which send without end was counted as one that crashes its servers: after three such attempts, client retries included, it was refused with 503 "request has crashed backend servers" at all gateways for two minutes, though no server was lost. Each attempt of unknown outcome counted.

An attempt that ended at a size limit (limiter.ErrTooLarge) no longer counts. The server itself is still treated as lost by the placer, so others are preferred.

--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/gateway/placer"
 )
@@ -182,8 +183,8 @@
 		return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "caller left"}}
 	}
 	p.Finish(placer.Lost, time.Now())
-	if crashes := x.quarantine.AddCrash(x.digest, time.Now()); crashes > 1 {
-		log.Warn("request lost several backend servers", "event", "crash", "request", x.ID, "server", p.ID, "crashes", crashes, "digest", x.digest)
+	if !errors.Is(err, limiter.ErrTooLarge) {
+		x.addCrash(p)
 	}
 	if ctx.Err() != nil {
 		return retry{sent: true, fallback: failure{status: http.StatusGatewayTimeout, reason: "no answer in time"}}
@@ -191,6 +192,14 @@
 	return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "connection to the backend server broke", retryAfter: failureRetryAfter}}
 }
 
+// addCrash counts a server that was lost while it had the request. A server that sends
+// without end is not lost.
+func (x *exchange) addCrash(p *placer.Placed) {
+	if crashes := x.quarantine.AddCrash(x.digest, time.Now()); crashes > 1 {
+		log.Warn("request lost several backend servers", "event", "crash", "request", x.ID, "server", p.ID, "crashes", crashes, "digest", x.digest)
+	}
+}
+
 // logPlaced logs the server of an attempt. If this process ends before the request,
 // no other line names the server.
 func (x *exchange) logPlaced(p *placer.Placed) {
