Gateway: a large failure of a server is relayed where no retry is possible

What callers saw: a server's failure over 256 KiB became a 502 without the server's stamp, also on routes with one attempt or services with one server.

Fix: such a failure is given up for a retry only if one may be made, or if it announces no length and so may not end. mayRetry holds what takeRetry checked, but for the budget.

--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -33,7 +33,7 @@
 		x.logAttempt(p, "failed by the backend server", nil)
 		return retry{sent: true, fallback: failure{status: a.resp.StatusCode, buffered: &bufferedAnswer{resp: a.resp, body: buffered.Bytes()}}}
 	}
-	if !whole && x.isRetryableFailure(a.resp.StatusCode) {
+	if !whole && x.isRetryableFailure(a.resp.StatusCode) && (a.resp.ContentLength < 0 || x.mayRetry(time.Now())) {
 		return x.abandonFailure(p, a)
 	}
 	if err := x.writeHead(a.resp, whole, buffered.Len()); err != nil {
--- a/internal/gateway/forwarder/limit.go
+++ b/internal/gateway/forwarder/limit.go
@@ -52,7 +52,7 @@
 }
 
 // abandonFailure gives up a retryable failure of a server that is too long to be kept for
-// the case that no retry is possible.
+// the case that the retry fails, or that may not end.
 func (x *exchange) abandonFailure(p *placer.Placed, a *answered) nextAction {
 	limiter.Report(x.sourceOf(a.conn, "read_failure"), maxBufferedBytes)
 	a.release(false, x.pool)
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -93,7 +93,7 @@
 	if x.mayHaveRun && !x.route.IsRepeatable() || x.unnumbered {
 		return false
 	}
-	if x.attempts >= x.route.MaxAttempts || !time.Now().Before(x.deadline) || !x.budget.TakeRetry(x.service, time.Now()) {
+	if !x.hasAttemptLeft(time.Now()) || !x.budget.TakeRetry(x.service, time.Now()) {
 		return false
 	}
 	retries.Inc()
@@ -103,6 +103,16 @@
 	return true
 }
 
+// hasAttemptLeft reports whether the route's attempts and the deadline allow another one.
+func (x *exchange) hasAttemptLeft(now time.Time) bool {
+	return x.attempts < x.route.MaxAttempts && now.Before(x.deadline)
+}
+
+// mayRetry reports whether a retry is possible, but for the budget.
+func (x *exchange) mayRetry(now time.Time) bool {
+	return x.hasAttemptLeft(now) && x.placer.HasOther(x.service, x.tried)
+}
+
 // answerFailure ends a request for which no further attempt is made. An answer that has
 // begun is left incomplete. If a server may have run the request, an answer of this process
 // has no status that means that it was not run.
