Gateway: an unmarked failure is no crash of its server

What callers would see: an order answered three times with a 503 that is not marked as not run was refused as one that crashes its servers; since the commit "an unmarked 408, 429 or 503 to an order is no promise", which ended such attempts like lost connections.

Evidence: TestUnmarkedFailureIsNoCrash failed before: 503 in place of 502.

Fix: the attempt counts as failed, not as lost.

Measured: the test passes with -race, as do those of crashes and failures.

--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -206,8 +206,13 @@
 		p.Finish(placer.Cancelled, time.Now())
 		return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "caller left"}}
 	}
-	p.Finish(placer.Lost, time.Now())
-	if !errors.Is(err, limiter.ErrTooLarge) {
+	switch {
+	case errors.Is(err, errUnmarked):
+		p.Finish(placer.Failed, time.Now())
+	case errors.Is(err, limiter.ErrTooLarge):
+		p.Finish(placer.Lost, time.Now())
+	default:
+		p.Finish(placer.Lost, time.Now())
 		x.addCrash(p)
 	}
 	if ctx.Err() != nil {
@@ -217,7 +222,7 @@
 }
 
 // addCrash counts a server that was lost while it had the request. A server that sends
-// without end is not lost.
+// without end, or that answers, has not crashed.
 func (x *exchange) addCrash(p *placer.Placed) {
 	if crashes := x.quarantine.AddCrash(x.digest, time.Now()); crashes > 1 {
 		log.Warn("request lost several backend servers", "event", "crash", "request", x.ID, "server", p.ID, "crashes", crashes, "digest", x.digest)
