Entry: an answer that has its end marker is not resumed

What callers would see: a stream whose end was lost between agent and entry after the end marker was resumed, and ended with two markers. Found by the review; the window is small, since both go out together.

Evidence: TestAnswerWithEndMarkerIsNotResumed failed before: completed with two markers.

Fix: data that ends with the marker cannot be resumed; the answer is aborted. The marker stands once, in the encoder.

Measured: go test -race of agent, entry and standin passes.

--- a/internal/agent/server/answer.go
+++ b/internal/agent/server/answer.go
@@ -24,9 +24,6 @@
 	maxAnswerBytes = 4 << 20
 )
 
-// doneEvent is the end marker of a complete stream.
-const doneEvent = "data: [DONE]"
-
 var (
 	errTruncated = errors.New("stream ended without its end marker")
 	// errDataAfterEnd is returned for a stream that continues after its end marker.
@@ -151,7 +148,7 @@
 		if !isBlank {
 			continue
 		}
-		if marker := trimLineEnds(events[lastStart:]); bytes.HasPrefix(marker, []byte(doneEvent)) {
+		if marker := trimLineEnds(events[lastStart:]); bytes.HasPrefix(marker, []byte(encoder.EndMarker)) {
 			return copyLastEvents(r, events, marker, send)
 		}
 		lastStart = len(events)
@@ -171,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	if len(marker) > len(doneEvent) || len(trimLineEnds(rest)) > 0 || len(rest) == chunkSize {
+	if len(marker) > len(encoder.EndMarker) || len(trimLineEnds(rest)) > 0 || len(rest) == chunkSize {
 		return errDataAfterEnd
 	}
 	send(append(events, rest...), true)
--- a/internal/agent/server/endless_test.go
+++ b/internal/agent/server/endless_test.go
@@ -52,7 +52,7 @@
 // writeStream writes a stream of events in a single write, so that they arrive together.
 func writeStream(w http.ResponseWriter, events ...string) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	_, _ = io.WriteString(w, strings.Join(events, "")+doneEvent+"\n\n")
+	_, _ = io.WriteString(w, strings.Join(events, "")+encoder.EndMarker+"\n\n")
 }
 
 // TestEventsBeforeLongEventBreakStream guards against counting events that were collected
@@ -68,7 +68,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			ta := newTestAgent(c)
-			total := len(doneEvent) + 2
+			total := len(encoder.EndMarker) + 2
 			events := make([]string, 0, len(sizes))
 			for _, size := range sizes {
 				events = append(events, newEvent(size))
--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -301,9 +302,9 @@
 }
 
 // canResume reports whether another attempt can continue after the data that
-// the caller has. Engines continue only event streams.
+// the caller has. Engines continue only event streams, and would repeat the end marker.
 func (j *job) canResume() bool {
-	return j.resumable && (len(j.sent) == 0 || j.Service.Kind == registrar.ServiceModel && j.head.IsEventStream())
+	return j.resumable && !bytes.HasSuffix(bytes.TrimRight(j.sent, "\r\n"), []byte("\n"+encoder.EndMarker)) && (len(j.sent) == 0 || j.Service.Kind == registrar.ServiceModel && j.head.IsEventStream())
 }
 
 // handleRefusal decides what follows an agent's refusal.
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -475,3 +475,15 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(out.Execution, qt.Equals, encoder.Execution_EXECUTION_UNKNOWN)
 }
+
+// An answer whose end was lost after its end marker must not get a second marker.
+func TestAnswerWithEndMarkerIsNotResumed(t *testing.T) {
+	c := qt.New(t)
+	const whole = "data: 1\n\ndata: [DONE]\n\n"
+	f := newFixture(c, 2, answerWithType(typeStream, whole, false), answerWithType(typeStream, "data: [DONE]\n\n", true))
+	s := &sink{}
+	_, isRefused := f.Do(t.Context(), newRequest(true), s).(*Refused)
+	c.Assert(isRefused, qt.IsTrue)
+	c.Assert(s.complete, qt.IsFalse)
+	c.Assert(s.String(), qt.Equals, whole)
+}
--- a/internal/wire/encoder/head.go
+++ b/internal/wire/encoder/head.go
@@ -10,6 +10,9 @@
 // sent to callers.
 const HeaderAttemptID = "X-Attempt-Id"
 
+// EndMarker is the last event of a complete event stream, without its line ends.
+const EndMarker = "data: [DONE]"
+
 const (
 	headerContentType = "Content-Type"
 	typeEventStream   = "text/event-stream"
