Agent: the end of a session does not cancel an order that was handed over

Seen: an order that must not run twice and whose entry was lost while the backend server worked on it was canceled, and a resent request learned that its outcome is unknown. PROTOCOL.md says that such work goes on, so that its answer can be recorded. Cause: the call to the backend server used the context of the session, which ends with it. Only the close of the single stream was covered (TestClosedStreamCancelsOnlyIdempotentRequests). Change: after the hand-over the context is bounded by the attempt's deadline and by the life of the process. Work that still waits in the queue ends with its session as before.

--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -286,6 +286,11 @@
 		a.refuse(encoder.CodeLeaving, "hand_over", encoder.Execution_EXECUTION_NOT_RUN, err.Error())
 		return
 	}
+	// The answer is recorded for a resent request even when the session has ended.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.deadline())
+	defer cancel()
+	stop := context.AfterFunc(a.backgroundCtx, cancel) //nolint:contextcheck // outlives the session
+	defer stop()
 	answer, err := a.fetchAnswer(ctx)
 	if driver.IsErrNotSent(err) {
 		a.handedOver = false
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -47,6 +47,9 @@
 
 // Server is one agent.
 type Server struct {
+	// backgroundCtx bounds the work that outlives the session that asked for it.
+	backgroundCtx context.Context //nolint:containedctx // lifetime of the process
+
 	cfg          *loader.Settings
 	incarnation  uint64
 	driver       *driver.Driver
@@ -70,6 +73,8 @@
 func New(ctx context.Context, cfg *loader.Settings, incarnation uint64, p storer.Platform, pool *connector.Pool) *Server {
 	activeConfig := registrar.NewActiveConfig()
 	s := &Server{
+		backgroundCtx: ctx,
+
 		cfg:          cfg,
 		incarnation:  incarnation,
 		driver:       driver.NewDriver(cfg.Agent.Backend),
--- a/internal/agent/server/server_test.go
+++ b/internal/agent/server/server_test.go
@@ -176,6 +176,27 @@
 	c.Assert(ta.backend.GetRuns(), qt.HasLen, 2)
 }
 
+// The end of an entry's session canceled an order that the backend server already ran.
+func TestLostSessionCancelsHandedOverOrder(t *testing.T) {
+	c := qt.New(t)
+	ta := newTestAgent(c)
+	ta.backend.SetFaults(responder.Faults{Stall: true})
+	lookup := ta.open(c, newRun("lookup", true))
+	ta.open(c, newRun("order", false))
+	waitFor(c, func() bool { return ta.backend.GetRunning() == 2 })
+	ta.pool.Drop(ta.addr)
+	c.Assert(lookup.Receive(&encoder.RunEvent{}), qt.IsNotNil)
+	waitFor(c, func() bool { return ta.backend.GetRunning() < 2 })
+	ta.backend.SetFaults(responder.Faults{})
+	waitFor(c, func() bool { return ta.backend.GetRunning() == 0 })
+	resend := newRun("order", false)
+	resend.AttemptId = "resend"
+	last, data := ta.run(c, resend)
+	c.Assert(last.GetEnd(), qt.IsNotNil)
+	c.Assert(strings.Contains(data, "body"), qt.IsTrue)
+	c.Assert(ta.backend.GetRuns(), qt.HasLen, 2)
+}
+
 func TestSecondIsolatedRequestIsRefused(t *testing.T) {
 	c := qt.New(t)
 	ta := newTestAgent(c)
