Stand-ins: partitions reach processes listed under a proxy's address

Seen: in the randomised run a partition of the two zones changed nothing, so that this fault was never tested there. Cause: the stand-in network recorded the zone of a process under its own address, while peers dial the advertised one, there that of its proxy. A dial to an unknown address belongs to no zone and is never cut. Evidence: TestPartitionLeavesProxiedProcessesConnected failed on the old code: 20 s after the cut entry-a still had desk-b0 of the other zone available. Change: the zone is recorded for the advertised address, before the process is listed. Without a proxy both are the same. Measured: the test passed 3 times.

--- a/internal/standin/checker/randomised_test.go
+++ b/internal/standin/checker/randomised_test.go
@@ -16,6 +16,8 @@
 	"github.com/sirupsen/logrus"
 
 	"siskinfall/internal/check/asserter"
+	entry "siskinfall/internal/entry/server"
+	"siskinfall/internal/operator/caller"
 	"siskinfall/internal/settings/loader"
 	"siskinfall/internal/standin/keeper"
 	"siskinfall/internal/standin/responder"
@@ -267,6 +269,37 @@
 	tf.Restart(p)
 }
 
+// checkCutOff returns an error unless an entry instance has lost exactly the agents of
+// the other zone.
+func (tf *testFleet) checkCutOff(ctx context.Context, zone string) error {
+	var v entry.StatusView
+	if err := caller.NewClient(tf.Processes["entry-"+zone].Settings.Listen.Admin, "").Get(ctx, "/v1/status", &v); err != nil {
+		return err
+	}
+	for _, a := range v.Agents {
+		if isOwn := tf.Processes[a.Instance].Settings.Zone == "zone-"+zone; a.Available != isOwn {
+			return fmt.Errorf("entry-%s: availability of %s is %t", zone, a.Instance, a.Available)
+		}
+	}
+	return nil
+}
+
+// A partition did not reach processes that are listed under the address of a proxy.
+func TestPartitionLeavesProxiedProcessesConnected(t *testing.T) {
+	c := qt.New(t)
+	tf := newTestFleet(c)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	tf.PartitionZones("zone-a", "zone-b")
+	for _, zone := range []string{"a", "b"} {
+		c.Assert(starter.WaitFor(ctx, func() error { return tf.checkCutOff(ctx, zone) }), qt.IsNil)
+	}
+	tf.HealZones()
+	for _, zone := range []string{"a", "b"} {
+		c.Assert(tf.WaitRouted(ctx, tf.Processes["entry-"+zone], 8), qt.IsNil)
+	}
+}
+
 // Random faults of the platform, the backend servers, the network and the processes
 // must not break a guarantee to callers: no order runs twice, no request refused as
 // not_run reaches a backend server, and no answer that ends cleanly is incomplete
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -196,8 +196,10 @@
 		}
 	})
 	f.Processes[cfg.Instance] = p
-	f.network.setZone(cfg.Listen.Peers, cfg.Zone)
-	f.Platform.SetInstance(storer.Instance{Name: cfg.Instance, Role: role, Zone: cfg.Zone, Address: f.advertise(cfg.Instance, cfg.Listen.Peers)})
+	// Peers dial the advertised address.
+	addr := f.advertise(cfg.Instance, cfg.Listen.Peers)
+	f.network.setZone(addr, cfg.Zone)
+	f.Platform.SetInstance(storer.Instance{Name: cfg.Instance, Role: role, Zone: cfg.Zone, Address: addr})
 	return p
 }
 
