Connector: Close of a stream does not wait for a concurrent Close

Seen: a call past its deadline could return later by the write timeout of a session, 5 s, when the session's peer had stalled. Cause: Close ran in a sync.Once, which makes the second caller wait. The first is the one started by the end of the call's context, and its close frame waits for the session. Evidence: TestCloseWaitsForConcurrentClose failed on the old code: the second Close had not returned while the first was blocked. Change: every Close calls that of yamux, which returns at once when the stream is closing, and a flag ends the count of the stream once.

--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -40,9 +41,9 @@
 	// peer is the name of the instance at the other end.
 	peer string
 	// session counts the stream until it is closed. It is nil for accepted streams.
-	session   *dialedSession
-	closeOnce sync.Once
-	closeErr  error
+	session *dialedSession
+	// isReleased is true once the stream no longer counts.
+	isReleased atomic.Bool
 }
 
 func newStream(conn net.Conn, peer string) *Stream {
@@ -52,15 +53,14 @@
 // Peer returns the name of the instance at the other end.
 func (s *Stream) Peer() string { return s.peer }
 
-// Close closes the stream in both directions. Further calls return the first result.
+// Close closes the stream in both directions. Further calls have no effect and do not
+// wait for the first.
 func (s *Stream) Close() error {
-	s.closeOnce.Do(func() {
-		s.closeErr = s.conn.Close()
-		if s.session != nil {
-			s.session.release()
-		}
-	})
-	return s.closeErr
+	err := s.conn.Close()
+	if s.session != nil && s.isReleased.CompareAndSwap(false, true) {
+		s.session.release()
+	}
+	return err
 }
 
 // SetReadDeadline bounds the wait for the next message.
--- a/internal/wire/connector/connector_test.go
+++ b/internal/wire/connector/connector_test.go
@@ -170,6 +170,46 @@
 	c.Assert(len(pool.links), qt.Equals, 0)
 }
 
+// blockingConn blocks its first Close until unblock is closed.
+type blockingConn struct {
+	net.Conn
+	entered, unblock chan struct{}
+	calls            atomic.Int64
+}
+
+func (c *blockingConn) Close() error {
+	if c.calls.Add(1) == 1 {
+		close(c.entered)
+		<-c.unblock
+	}
+	return nil
+}
+
+// A call past its deadline waited for the close that its context had started, which may
+// block for the write timeout of a stalled session.
+func TestCloseWaitsForConcurrentClose(t *testing.T) {
+	c := qt.New(t)
+	conn := &blockingConn{entered: make(chan struct{}), unblock: make(chan struct{})}
+	s := newStream(conn, "peer")
+	s.session = &dialedSession{openStreams: 1}
+	first, second := make(chan struct{}), make(chan struct{})
+	go func() { defer close(first); _ = s.Close() }()
+	<-conn.entered
+	go func() { defer close(second); _ = s.Close() }()
+	// The bound only ends a run that hangs.
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	select {
+	case <-second:
+	case <-ctx.Done():
+		c.Error("the second Close waits for the first")
+	}
+	close(conn.unblock)
+	<-first
+	<-second
+	c.Assert(s.session.openStreams, qt.Equals, 0)
+}
+
 func TestVersionMismatchFailsWithStepAndPeer(t *testing.T) {
 	c := qt.New(t)
 	addr, stop := serve(c, echo)
