Tests: an entry process answers callers of HTTP/1.0

Found by the review: nothing failed when the entry's server did not pass its callers' connections on, though every answer to HTTP/1.0 would then be aborted. TestEntryAnswersHTTP10Callers sends a stream through a whole entry; without the ConnContext of the launcher it fails with "unexpected EOF" (tried).

--- a/internal/standin/starter/fleet_test.go
+++ b/internal/standin/starter/fleet_test.go
@@ -1,8 +1,12 @@
 package starter
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"strings"
@@ -341,3 +345,20 @@
 		c.Assert(client.Do(ctx, f.callersAddr(name), newStreamCall("after", 3)).IsAnswered(), qt.IsTrue)
 	}
 }
+
+// An entry process that doesn't know its callers' connections can't answer HTTP/1.0.
+func TestEntryAnswersHTTP10Callers(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1, 2)
+	conn, err := net.Dial("tcp", f.callersAddr("entry-0").String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	body := fmt.Sprintf(`{"model":"assistant-llm","stream":true,"max_tokens":20,"messages":%s}`, checker.Messages("old"))
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.0\r\nHost: entry\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", DemoKey, len(body), body)
+	c.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	data, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(data), qt.Equals, responder.ExpectedStream(checker.Messages("old"), 20))
+}
