Gateway: log and count the crashes of a request, its own and reported ones

The incident's logs could not tell whether a gateway that sends a poison request on has too few reports or adds them up wrongly: the crash line was written from the second crash on, with the sum alone, and nothing told what other gateways had reported.

Now each crash is a line with digest, own and reported count; a report that changes is a line (crash_report) with the gateway that sent it; the line of a request's end has its digest; two counters tell crashes and refusals. Under hypothesis 1 the reports known at a gateway add up to three or more while its crash line says own 1, reported 2; under 2 the reports are missing or late; under 3 there are none.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -55,6 +55,15 @@
 	cancel context.CancelFunc
 }
 
+// crashReport names a crash count of another gateway.
+type crashReport struct {
+	peer   string
+	digest uint64
+}
+
+// maxCrashReports bounds the counts that are kept to log only changes.
+const maxCrashReports = 4096
+
 // Gossiper exchanges state with all other gateways. It is safe for concurrent use.
 type Gossiper struct {
 	own     netip.AddrPort
@@ -67,6 +76,8 @@
 	onGatewayCount func(int)
 	mu             sync.Mutex
 	members        map[netip.AddrPort]*member
+	// crashReports holds the latest crash counts that were logged.
+	crashReports map[crashReport]uint32
 	// encoded is the catalog of encodedVersion as JSON.
 	encoded        []byte
 	encodedVersion uint64
@@ -78,7 +89,7 @@
 func New(own netip.AddrPort, seeds []netip.AddrPort, pool *connector.Pool, catalog *holder.Holder, servers *lister.Lister, crashes *quarantiner.Set, onGatewayCount func(int)) *Gossiper {
 	return &Gossiper{
 		own: own, seeds: seeds, pool: pool, catalog: catalog, servers: servers, crashes: crashes, onGatewayCount: onGatewayCount,
-		members: make(map[netip.AddrPort]*member),
+		members: make(map[netip.AddrPort]*member), crashReports: make(map[crashReport]uint32),
 	}
 }
 
@@ -216,7 +227,7 @@
 			return err
 		}
 		now := time.Now()
-		g.applyCrashCounts(request, now)
+		g.applyCrashCounts(request, request.GetAddress(), now)
 		g.AddGateways([]string{request.GetAddress()})
 		answer, err := g.answer(request, now)
 		if err != nil {
@@ -321,7 +332,7 @@
 	}
 	g.mu.Unlock()
 	g.AddGateways(m.GetGateways())
-	g.applyCrashCounts(m, now)
+	g.applyCrashCounts(m, addr.String(), now)
 	if len(m.GetCatalog()) > 0 {
 		c := &holder.Catalog{}
 		if err := json.Unmarshal(m.GetCatalog(), c); err != nil {
@@ -344,8 +355,26 @@
 	}
 }
 
-func (g *Gossiper) applyCrashCounts(m *encoder.GatewaySync, now time.Time) {
+func (g *Gossiper) applyCrashCounts(m *encoder.GatewaySync, peer string, now time.Time) {
 	for _, c := range m.GetCrashes() {
 		g.crashes.SetPeerCrashes(c.GetDigest(), int(c.GetCrashes()), now)
+		if g.recordReport(peer, c) {
+			log.Info("gateway reported crashes", "event", "crash_report", "peer", peer, "digest", c.GetDigest(), "crashes", c.GetCrashes())
+		}
+	}
+}
+
+// recordReport reports whether a count of another gateway differs from its previous one.
+func (g *Gossiper) recordReport(peer string, c *encoder.CrashCount) bool {
+	key := crashReport{peer: peer, digest: c.GetDigest()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.crashReports[key] == c.GetCrashes() {
+		return false
+	}
+	if len(g.crashReports) >= maxCrashReports {
+		clear(g.crashReports)
 	}
+	g.crashReports[key] = c.GetCrashes()
+	return true
 }
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -292,6 +292,7 @@
 	if !x.quarantine.IsBlocked(x.digest) {
 		return true
 	}
+	quarantined.Inc()
 	x.fail(http.StatusServiceUnavailable, "request has crashed backend servers", 0)
 	return false
 }
@@ -334,6 +335,7 @@
 	fields := []any{
 		"event", "ended", "request", x.ID, "status", status, "sent_status", x.w.status, "reason", reason, "route", route, "service", x.service,
 		"took", took, "sent", x.attempts, "tried", x.tried, "catalog", x.catalog.GetVersion(),
+		"digest", x.digest,
 	}
 	if x.placed != nil {
 		fields = append(fields, "server", x.placed.ID, "estimate", x.placed.Estimate, "report_age", x.placed.ReportAge())
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -224,9 +224,10 @@
 // addCrash counts a server that was lost while it had the request. A server that sends
 // without end, or that answers, has not crashed.
 func (x *exchange) addCrash(p *placer.Placed) {
-	if crashes := x.quarantine.AddCrash(x.digest, time.Now()); crashes > 1 {
-		log.Warn("request lost several backend servers", "event", "crash", "request", x.ID, "server", p.ID, "crashes", crashes, "digest", x.digest)
-	}
+	own, reported := x.quarantine.AddCrash(x.digest, time.Now())
+	crashes.Inc()
+	log.Warn("backend server lost while it had the request", "event", "crash", "request", x.ID, "server", p.ID, "digest", x.digest,
+		"crashes", own+reported, "own", own, "reported", reported)
 }
 
 // logPlaced logs the server of an attempt. If this process ends before the request,
--- a/internal/gateway/quarantiner/quarantiner.go
+++ b/internal/gateway/quarantiner/quarantiner.go
@@ -53,16 +53,16 @@
 // New returns an empty Set.
 func New() *Set { return &Set{entries: make(map[uint64]*entry)} }
 
-// AddCrash counts a server that was lost while it ran a request, and returns the number
-// of crashes of this request: those observed by this gateway plus the highest count that
+// AddCrash counts a server that was lost while it ran a request. It returns the number of
+// crashes of this request that this gateway has observed, and the highest count that
 // another gateway has reported.
-func (s *Set) AddCrash(digest uint64, now time.Time) int {
+func (s *Set) AddCrash(digest uint64, now time.Time) (own, reported int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.getOrAdd(digest, now)
 	e.own++
 	s.version++
-	return e.own + e.peer
+	return e.own, e.peer
 }
 
 // SetPeerCrashes updates the crashes from the count of another gateway. The own and the
