Gateway: address for peers that differs from the listener's

Question: how can a test cut real gateway processes off from each other? They dial each other at the address that they bind, so no fault-injecting proxy fits in between. gateway.advertise_peers names the address that others are told; it defaults to listen.peers.

--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -87,12 +87,16 @@
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
 	}
 	g.peers = connector.NewPool(g.hello)
-	g.gossiper = gossiper.New(cfg.Listen.Peers, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.quarantine, func(n int) {
+	peersAddr := cfg.Listen.Peers
+	if cfg.Gateway.AdvertisePeers.IsValid() {
+		peersAddr = cfg.Gateway.AdvertisePeers
+	}
+	g.gossiper = gossiper.New(peersAddr, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.quarantine, func(n int) {
 		g.retryBudget.SetGateways(n)
 		g.placer.SetGateways(n)
 		g.watcher.SetGateways(n)
 	})
-	g.subscriber = subscriber.New(cfg.Listen.Peers, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways)
+	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways)
 	g.servers.OnChange(g.subscriber.SetServers)
 	return g
 }
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -99,8 +99,10 @@
 	RepeatSlack   float64       `yaml:"repeat_slack" validate:"min=0" comment:"repeats beyond that in a window, over all gateways"`
 	RepeatWindow  time.Duration `yaml:"repeat_window" validate:"min=1s,max=10m" comment:"window in which repeats are counted"`
 	// SeedPeers need not be reachable.
-	SeedPeers   []netip.AddrPort `yaml:"seed_peers" comment:"gateways and sidecars to ask first"`
-	SidecarPort uint16           `yaml:"sidecar_port" comment:"port of the sidecars, at their backend servers' addresses; 0 for none"`
+	SeedPeers []netip.AddrPort `yaml:"seed_peers" comment:"gateways and sidecars to ask first"`
+	// AdvertisePeers has the port of listen.peers, which is the same on all gateways.
+	AdvertisePeers netip.AddrPort `yaml:"advertise_peers" comment:"address under which others reach listen.peers, as behind a proxy; empty for listen.peers itself"`
+	SidecarPort    uint16         `yaml:"sidecar_port" comment:"port of the sidecars, at their backend servers' addresses; 0 for none"`
 }
 
 // Sidecar configures a sidecar, which runs beside a model engine.
