Gateway: a gateway that starts learns of crashes before it sends requests

Cause: a gateway that has just started knows no crashes, and served as soon as it had a catalog and servers. Class: an empty set taken for the knowledge that there is nothing.

Fix: the set is incomplete until every gateway known at the start has answered or could not be reached, or 1.5 s have passed. Until then the gateway isn't ready and answers 503 with the time to come back.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -41,6 +41,9 @@
 	memberTTL = 20 * time.Second
 	// livenessTimeout is how long a gateway counts as live after its last answer.
 	livenessTimeout = 3 * time.Second
+	// firstAnswersTimeout bounds the wait for the first answers of all gateways that are known
+	// at the start. It exceeds the dial of one that answers.
+	firstAnswersTimeout = 1500 * time.Millisecond
 	// updateInterval is the pause between two updates of the members.
 	updateInterval = 200 * time.Millisecond
 )
@@ -51,6 +54,8 @@
 	// adding, and from the start of polling on a time that does not count as live.
 	// lastReported is when any source last reported it.
 	lastAnswer, lastReported time.Time
+	// tried is set once it has answered, or an attempt to reach it has failed.
+	tried bool
 	// cancel ends the goroutine that polls the member; nil before that is started.
 	cancel context.CancelFunc
 }
@@ -65,8 +70,10 @@
 	seeds   []netip.AddrPort
 	// onGatewayCount receives the number of gateways, this one included.
 	onGatewayCount func(int)
-	mu             sync.Mutex
-	members        map[netip.AddrPort]*member
+	// started is when Run began.
+	started time.Time
+	mu      sync.Mutex
+	members map[netip.AddrPort]*member
 	// encoded is the catalog of encodedVersion as JSON.
 	encoded        []byte
 	encodedVersion uint64
@@ -113,6 +120,7 @@
 func (g *Gossiper) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	g.started = time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
 		for _, seed := range g.seeds {
@@ -120,7 +128,12 @@
 			// same on all gateways.
 			g.add(netip.AddrPortFrom(seed.Addr(), g.own.Port()), now)
 		}
-		g.onGatewayCount(g.update(ctx, &wg, now))
+		n := g.update(ctx, &wg, now)
+		g.onGatewayCount(n)
+		if n == 1 {
+			g.losses.SetComplete()
+		}
+		g.boundFirstAnswers(now)
 		sleeper.Sleep(ctx, updateInterval)
 	}
 }
@@ -162,6 +175,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		g.setTried(addr)
 		if !unreachable {
 			log.Info("connection to gateway lost", "event", "peer_lost", "peer", addr, "error", err)
 			unreachable = true
@@ -305,8 +319,9 @@
 }
 
 func (g *Gossiper) liveGateways(now time.Time) []string {
-	var addrs []string
-	for _, addr := range g.getLive(now) {
+	live := g.getLive(now)
+	addrs := make([]string, 0, len(live))
+	for _, addr := range live {
 		addrs = append(addrs, addr.String())
 	}
 	return addrs
@@ -344,6 +359,7 @@
 	g.mu.Unlock()
 	g.AddGateways(m.GetGateways())
 	g.mergeLosses(m, addr.String(), now)
+	g.setTried(addr)
 	if len(m.GetCatalog()) > 0 {
 		c := &holder.Catalog{}
 		if err := json.Unmarshal(m.GetCatalog(), c); err != nil {
--- a/internal/fleet/gossiper/loss.go
+++ b/internal/fleet/gossiper/loss.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -53,3 +54,27 @@
 		}
 	}
 }
+
+// boundFirstAnswers ends the wait for gateways that were known at the start.
+func (g *Gossiper) boundFirstAnswers(now time.Time) {
+	if now.Sub(g.started) > firstAnswersTimeout {
+		g.losses.SetComplete()
+	}
+}
+
+// setTried records that a member has answered or failed to. Once all have, the losses of
+// those that could be reached are known.
+func (g *Gossiper) setTried(addr netip.AddrPort) {
+	g.mu.Lock()
+	if m := g.members[addr]; m != nil {
+		m.tried = true
+	}
+	complete := true
+	for _, m := range g.members {
+		complete = complete && m.tried
+	}
+	g.mu.Unlock()
+	if complete {
+		g.losses.SetComplete()
+	}
+}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -290,6 +290,10 @@
 		account = x.account.Name
 	}
 	x.digest = quarantiner.Digest(x.r.Method, x.r.RequestURI, account, x.body)
+	if !x.quarantine.IsComplete() {
+		x.fail(http.StatusServiceUnavailable, "crashes seen by other gateways are not known yet", noCatalogRetryAfter)
+		return false
+	}
 	if !x.quarantine.IsBlocked(x.digest, x.start) {
 		return true
 	}
--- a/internal/gateway/quarantiner/quarantiner.go
+++ b/internal/gateway/quarantiner/quarantiner.go
@@ -53,12 +53,39 @@
 	// lastNumber is the number of the latest loss that this gateway observed.
 	lastNumber uint64
 	entries    map[uint64]*entry
+	// complete is set once the set has the losses that other gateways knew at the start.
+	complete bool
 }
 
+// Option configures a Set.
+type Option func(*Set)
+
+// WithPeers makes the set incomplete until SetComplete is called.
+func WithPeers() Option { return func(s *Set) { s.complete = false } }
+
 // New returns an empty Set. The observer identifies the process among all gateways and
 // their earlier incarnations.
-func New(observer uint64) *Set {
-	return &Set{observer: observer, entries: make(map[uint64]*entry)}
+func New(observer uint64, opts ...Option) *Set {
+	s := &Set{observer: observer, entries: make(map[uint64]*entry), complete: true}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// SetComplete says that all reachable gateways have been asked for their losses.
+func (s *Set) SetComplete() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.complete = true
+}
+
+// IsComplete reports whether the set has the losses that other gateways knew when this one
+// started. Before that, a request that they block may look harmless.
+func (s *Set) IsComplete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.complete
 }
 
 // AddLoss records that a server was lost at now, while it ran a request that this gateway
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -76,7 +76,7 @@
 // NewGateway returns a Gateway that reads the catalog and the servers from source
 // and uses codec for the platform's headers.
 func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
-	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64())}
+	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
 	g.retryBudget = budgeter.New(budgeter.Bound{
 		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
 	}, time.Now())
@@ -209,7 +209,7 @@
 
 // isReady reports whether the gateway can take new callers.
 func (g *Gateway) isReady() bool {
-	return !g.stopping.Load() && g.catalog.Get() != nil && g.servers.GetRevision() > 0
+	return !g.stopping.Load() && g.catalog.Get() != nil && g.servers.GetRevision() > 0 && g.quarantine.IsComplete()
 }
 
 func (g *Gateway) adminHandler() http.Handler {
