Gateway: a request that servers survive is not blamed for those that were lost

What callers would see: a request that many callers send alike, as a status lookup, is refused on all gateways for minutes, because three servers that happened to run it were lost for another reason: a poison request beside it, a rack, a release. Joining what all gateways saw makes this more likely, not less.

Cause: being in flight at a crash was taken for having caused it, and nothing ever spoke for a request. Class: evidence counted on one side only.

Fix: a poison request crashes each server that begins to run it, so one that a server has run and answered is not the cause. Its losses are explained, those of the last 30 s before it was served included; the mark travels with the loss and is never unset. A blocked request that was never served is tried once more 5 s and 30 s after its latest crash, by the one gateway that all agree on, and not while gateways are cut off. The trial is announced 1.5 s before and counts as a crash until it is over: a gateway that is killed during its trial doesn't repeat it, nor do others.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -133,7 +133,7 @@
 		if n == 1 {
 			g.losses.SetComplete()
 		}
-		g.boundFirstAnswers(now)
+		g.updateFleet(now)
 		sleeper.Sleep(ctx, updateInterval)
 	}
 }
--- a/internal/fleet/gossiper/loss.go
+++ b/internal/fleet/gossiper/loss.go
@@ -21,7 +21,7 @@
 		for _, l := range r.Losses {
 			m.Servers = append(m.Servers, &encoder.LostServer{
 				Observer: l.Observer, Number: l.Number, Server: l.Server.ID, ServerStartedMillis: l.Server.Started.UnixMilli(),
-				AgeMillis: uint64(max(now.Sub(l.At), 0).Milliseconds()),
+				AgeMillis: uint64(max(now.Sub(l.At), 0).Milliseconds()), Explained: l.Explained,
 			})
 		}
 		out = append(out, m)
@@ -37,7 +37,7 @@
 			r.Losses = append(r.Losses, quarantiner.Loss{
 				LossID: quarantiner.LossID{Observer: l.GetObserver(), Number: l.GetNumber()},
 				Server: quarantiner.NewServer(l.GetServer(), time.UnixMilli(l.GetServerStartedMillis())),
-				At:     now.Add(-time.Duration(min(l.GetAgeMillis(), maxAgeMillis)) * time.Millisecond),
+				At:     now.Add(-time.Duration(min(l.GetAgeMillis(), maxAgeMillis)) * time.Millisecond), Explained: l.GetExplained(),
 			})
 		}
 		records = append(records, r)
@@ -50,13 +50,23 @@
 	for _, learned := range g.losses.Merge(decodeLosses(m.GetLosses(), now), now) {
 		for _, l := range learned.New {
 			log.Info("backend server lost at another gateway", "event", "crash_report", "peer", peer, "digest", learned.Digest, "server", l.Server.ID,
-				"observer", l.Observer, "age", now.Sub(l.At), "crashes", learned.Crashes)
+				"observer", l.Observer, "age", now.Sub(l.At), "explained", l.Explained, "crashes", learned.Crashes)
 		}
 	}
 }
 
-// boundFirstAnswers ends the wait for gateways that were known at the start.
-func (g *Gossiper) boundFirstAnswers(now time.Time) {
+// updateFleet tells the quarantine which gateways answer. Others count as cut off, not gone,
+// until memberTTL after their last answer.
+func (g *Gossiper) updateFleet(now time.Time) {
+	live := g.getLive(now)
+	g.mu.Lock()
+	isCut := false
+	for _, m := range g.members {
+		silence := now.Sub(m.lastAnswer)
+		isCut = isCut || silence >= livenessTimeout && silence < memberTTL
+	}
+	g.mu.Unlock()
+	g.losses.SetFleet(g.own, live, isCut)
 	if now.Sub(g.started) > firstAnswersTimeout {
 		g.losses.SetComplete()
 	}
--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -88,6 +88,8 @@
 	outcome := placer.Served
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		outcome = placer.Failed
+	} else {
+		x.addServed()
 	}
 	p.Finish(outcome, time.Now())
 	x.logEnd(a.resp.StatusCode, "answered", 0)
@@ -212,6 +214,7 @@
 	x.w.setComplete()
 	a.release(true, x.pool)
 	p.Finish(placer.Served, time.Now())
+	x.addServed()
 	x.logEnd(a.resp.StatusCode, "answered", 0)
 	return done{}
 }
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -126,6 +126,9 @@
 	if x.admit() && x.readBody() && x.checkQuarantine() {
 		x.serve(r.Context())
 	}
+	if x.isTrial {
+		f.quarantine.EndTrial(x.digest, x.mayHaveRun)
+	}
 	x.w.end()
 }
 
@@ -145,6 +148,8 @@
 	body    []byte
 	// digest identifies the request across client retries.
 	digest uint64
+	// isTrial is set if the request would be blocked but may be sent once.
+	isTrial bool
 	// deadline results from the timeouts of the caller and the route.
 	deadline time.Time
 	// eventDeadline is when the next event is due; zero if the route has no
@@ -294,12 +299,18 @@
 		x.fail(http.StatusServiceUnavailable, "crashes seen by other gateways are not known yet", noCatalogRetryAfter)
 		return false
 	}
-	if !x.quarantine.IsBlocked(x.digest, x.start) {
-		return true
+	switch x.quarantine.Admit(x.digest, x.start) {
+	case quarantiner.Blocked:
+		quarantined.Inc()
+		x.fail(http.StatusServiceUnavailable, "request has crashed backend servers", 0)
+		return false
+	case quarantiner.Trial:
+		x.isTrial = true
+		trials.Inc()
+		log.Warn("blocked request is tried once more", "event", "trial", "request", x.ID, "digest", x.digest)
+	case quarantiner.Clear:
 	}
-	quarantined.Inc()
-	x.fail(http.StatusServiceUnavailable, "request has crashed backend servers", 0)
-	return false
+	return true
 }
 
 // promisesNotRun reports whether a status means that the request has not run.
--- a/internal/gateway/forwarder/metrics.go
+++ b/internal/gateway/forwarder/metrics.go
@@ -13,6 +13,7 @@
 	resumedStreams    = metrics.NewCounter("siskinfall_gateway_streams_resumed_total")
 	retries           = metrics.NewCounter("siskinfall_gateway_repeats_total")
 	losses            = metrics.NewCounter("siskinfall_gateway_losses_total")
+	trials            = metrics.NewCounter("siskinfall_gateway_trials_total")
 	quarantined       = metrics.NewCounter("siskinfall_gateway_quarantined_total")
 )
 
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -88,8 +88,12 @@
 	}
 }
 
-// isBlocked reports whether the request was blocked since it was admitted.
+// isBlocked reports whether the request was blocked since it was admitted. A trial goes on
+// until a server may have run it.
 func (x *exchange) isBlocked() bool {
+	if x.isTrial && !x.mayHaveRun {
+		return false
+	}
 	return x.quarantine.IsBlocked(x.digest, time.Now())
 }
 
@@ -235,6 +239,13 @@
 	log.Warn("backend server lost while it had the request", "event", "crash", "request", x.ID, "server", p.ID, "digest", x.digest, "crashes", n)
 }
 
+// addServed records that a server has run the request and answered.
+func (x *exchange) addServed() {
+	if n := x.quarantine.AddServed(x.digest, time.Now()); n > 0 {
+		log.Info("request was served and did not crash its servers", "event", "explained", "request", x.ID, "digest", x.digest, "losses", n)
+	}
+}
+
 // logPlaced logs the server of an attempt. If this process ends before the request,
 // no other line names the server.
 func (x *exchange) logPlaced(p *placer.Placed) {
--- a/internal/gateway/quarantiner/exchange.go
+++ b/internal/gateway/quarantiner/exchange.go
@@ -18,7 +18,7 @@
 	Losses []Loss
 }
 
-// Export returns the losses that count, for other gateways.
+// Export returns the losses that count or are explained, for other gateways.
 func (s *Set) Export(now time.Time) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,10 +55,13 @@
 }
 
 func (l *Loss) hash(digest uint64) uint64 {
-	b := make([]byte, 0, 24)
+	b := make([]byte, 0, 25)
 	for _, n := range []uint64{digest, l.Observer, l.Number} {
 		b = binary.BigEndian.AppendUint64(b, n)
 	}
+	if l.Explained {
+		b = append(b, 1)
+	}
 	return xxhash.Sum64(b)
 }
 
@@ -94,8 +97,10 @@
 
 // mergeLoss adds a loss, or updates the known one, and reports whether it is new.
 func (s *Set) mergeLoss(digest uint64, l Loss, now time.Time) bool {
+	l.Explained = l.Explained || s.served.isInnocent(digest, l.At, now)
 	if e := s.entries[digest]; e != nil && e.losses[l.LossID] != nil {
 		known := e.losses[l.LossID]
+		known.Explained = known.Explained || l.Explained
 		if l.At.Before(known.At) {
 			known.At = l.At
 		}
--- a/internal/gateway/quarantiner/loss.go
+++ b/internal/gateway/quarantiner/loss.go
@@ -31,14 +31,17 @@
 // Loss is a backend server that was lost while it ran a request, as one gateway saw it.
 type Loss struct {
 	LossID
+	// Server is zero for an announced trial.
 	Server Server
 	// At is when the server was lost, by the clock of this process. Gateways estimate it
 	// from the age that others report; the earliest estimate holds.
 	At time.Time
+	// Explained is set once the request is known not to be the cause, and never unset.
+	Explained bool
 }
 
 // counts reports whether a loss counts against its request.
-func (l *Loss) counts(now time.Time) bool { return now.Sub(l.At) <= crashTTL }
+func (l *Loss) counts(now time.Time) bool { return !l.Explained && now.Sub(l.At) <= crashTTL }
 
 // countCrashes returns the number of crashes that the losses stand for. Copies of a request
 // that run on one server are lost together, perhaps by several gateways, and are one crash.
@@ -85,6 +88,18 @@
 	return false
 }
 
+// explain marks all losses as not caused by the request, and returns how many counted.
+func (e *entry) explain(now time.Time) int {
+	n := 0
+	for _, l := range e.losses {
+		if l.counts(now) {
+			n++
+		}
+		l.Explained = true
+	}
+	return n
+}
+
 func (e *entry) evictOldest() {
 	var oldest *Loss
 	for _, l := range e.losses {
@@ -94,3 +109,14 @@
 	}
 	delete(e.losses, oldest.LossID)
 }
+
+// getLatest returns the time of the latest loss that counts.
+func (e *entry) getLatest(now time.Time) time.Time {
+	var latest time.Time
+	for _, l := range e.losses {
+		if l.counts(now) && l.At.After(latest) {
+			latest = l.At
+		}
+	}
+	return latest
+}
--- a/internal/gateway/quarantiner/quarantiner.go
+++ b/internal/gateway/quarantiner/quarantiner.go
@@ -2,7 +2,8 @@
 // them, on all gateways, even while the store is unavailable.
 //
 // Load pattern: a request crashes each backend server that begins to run it, and its
-// caller sends it repeatedly, to any gateway.
+// caller sends it repeatedly, to any gateway. Beside it, requests that many callers send
+// lose servers for other reasons and must still be served.
 package quarantiner
 
 import (
@@ -22,6 +23,8 @@
 	// forgetAfter is how long a lost server is remembered. It exceeds crashTTL by more than
 	// gateways differ in its age, so that none learns it again from another one.
 	forgetAfter = 2 * crashTTL
+	// servedWindow is how long a request that was served is not blamed for lost servers.
+	servedWindow = 30 * time.Second
 	// maxEntries bounds the number of requests kept; the oldest are evicted first.
 	// maxLosses bounds the lost servers kept for each.
 	maxEntries = 4096
@@ -42,6 +45,8 @@
 	losses map[LossID]*Loss
 	// updatedAt is the time of the latest change.
 	updatedAt time.Time
+	// trial is the trial that this gateway has announced, nil if there is none.
+	trial *trial
 }
 
 // Set holds the lost servers by request. Sets that exchange their contents converge: a
@@ -53,6 +58,8 @@
 	// lastNumber is the number of the latest loss that this gateway observed.
 	lastNumber uint64
 	entries    map[uint64]*entry
+	served     servedLog
+	fleet      fleet
 	// complete is set once the set has the losses that other gateways knew at the start.
 	complete bool
 }
@@ -66,7 +73,7 @@
 // New returns an empty Set. The observer identifies the process among all gateways and
 // their earlier incarnations.
 func New(observer uint64, opts ...Option) *Set {
-	s := &Set{observer: observer, entries: make(map[uint64]*entry), complete: true}
+	s := &Set{observer: observer, entries: make(map[uint64]*entry), served: newServedLog(), complete: true}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -97,6 +104,9 @@
 	if e == nil || !e.hasLossSince(s.observer, server, sentAt) {
 		s.addOwn(digest, server, now)
 	}
+	if e != nil && e.trial != nil && e.trial.isSpent {
+		e.retractTrial()
+	}
 	return s.entries[digest].countCrashes(now)
 }
 
@@ -105,9 +115,25 @@
 	s.lastNumber++
 	return s.put(digest, Loss{
 		LossID: LossID{Observer: s.observer, Number: s.lastNumber}, Server: server, At: now,
+		Explained: s.served.isInnocent(digest, now, now),
 	}, now)
 }
 
+// AddServed records that a server ran a request and survived. The request is not to blame
+// for the servers that were lost under it shortly before or while it ran. It returns the
+// number of losses that counted until then.
+func (s *Set) AddServed(digest uint64, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served.add(digest, now)
+	e := s.entries[digest]
+	if e == nil {
+		return 0
+	}
+	e.trial = nil
+	return e.explain(now)
+}
+
 // IsBlocked reports whether a request is blocked and must not be sent to any server.
 func (s *Set) IsBlocked(digest uint64, now time.Time) bool {
 	s.mu.Lock()
--- a/internal/gateway/quarantiner/quarantiner_test.go
+++ b/internal/gateway/quarantiner/quarantiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -19,11 +20,17 @@
 	a.Merge(b.Export(now), now)
 }
 
-// newSets returns the sets of n gateways.
+// newSets returns n sets that see each other as one fleet.
 func newSets(n int) []*Set {
 	sets := make([]*Set, n)
+	addrs := make([]netip.AddrPort, n)
 	for i := range sets {
 		sets[i] = New(uint64(100 + i))
+		addrs[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+	}
+	for i, s := range sets {
+		others := append(append([]netip.AddrPort(nil), addrs[:i]...), addrs[i+1:]...)
+		s.SetFleet(addrs[i], others, false)
 	}
 	return sets
 }
@@ -41,8 +48,8 @@
 	}
 	for _, s := range sets {
 		exchange(s, sets[0], start)
-		c.Assert(s.IsBlocked(d, start), qt.IsTrue)
-		c.Assert(s.IsBlocked(Digest("POST", "/a", "acme", []byte("other")), start), qt.IsFalse)
+		c.Assert(s.Admit(d, start), qt.Equals, Blocked)
+		c.Assert(s.Admit(Digest("POST", "/a", "acme", []byte("other")), start), qt.Equals, Clear)
 	}
 	later := start.Add(crashTTL + time.Second)
 	c.Assert(sets[0].IsBlocked(d, later), qt.IsFalse)
@@ -95,6 +102,30 @@
 	c.Assert(sets[0].Fingerprint(now), qt.Equals, uint64(0))
 }
 
+// TestServedRequestIsNotBlamed guards against blocking a request that servers run and survive.
+func TestServedRequestIsNotBlamed(t *testing.T) {
+	c := qt.New(t)
+	sets := newSets(2)
+	sets[0].AddServed(1, start)
+	now := start.Add(servedWindow)
+	for i := range maxCrashes {
+		sets[1].AddLoss(1, server(i), start, now)
+	}
+	c.Assert(sets[1].IsBlocked(1, now), qt.IsTrue)
+	exchange(sets[1], sets[0], now)
+	c.Assert(sets[0].IsBlocked(1, now), qt.IsFalse)
+	c.Assert(sets[1].IsBlocked(1, now), qt.IsFalse)
+	c.Assert(sets[0].Fingerprint(now), qt.Equals, sets[1].Fingerprint(now))
+	// What was served long ago says nothing.
+	later := now.Add(servedWindow)
+	for i := range maxCrashes {
+		sets[0].AddLoss(1, server(10+i), now, later)
+	}
+	c.Assert(sets[0].IsBlocked(1, later), qt.IsTrue)
+	c.Assert(sets[0].AddServed(1, later), qt.Equals, maxCrashes)
+	c.Assert(sets[0].IsBlocked(1, later), qt.IsFalse)
+}
+
 // syncAll lets all sets learn from each other.
 func syncAll(sets []*Set, now time.Time) {
 	for range 2 {
@@ -104,6 +135,116 @@
 	}
 }
 
+// countTrials sends a request to all gateways several times and returns how often it was
+// admitted.
+func countTrials(sets []*Set, digest uint64, now time.Time) (n int) {
+	for range 3 {
+		for _, s := range sets {
+			if s.Admit(digest, now) == Trial {
+				n++
+			}
+		}
+	}
+	syncAll(sets, now)
+	return n
+}
+
+// newBlockedFleet returns sets that block a request.
+func newBlockedFleet(digest uint64) []*Set {
+	sets := newSets(5)
+	for i := range maxCrashes {
+		sets[0].AddLoss(digest, server(i), start, start)
+	}
+	syncAll(sets, start)
+	return sets
+}
+
+// TestOneGatewayTriesBlockedRequest guards against a trial by each gateway, one after the
+// other, or without end, and against trials while the fleet is cut.
+func TestOneGatewayTriesBlockedRequest(t *testing.T) {
+	c := qt.New(t)
+	const digest = 7
+	sets := newBlockedFleet(digest)
+	now := start
+	for i, pause := range trialPauses {
+		c.Assert(countTrials(sets, digest, now.Add(pause-time.Millisecond)), qt.Equals, 0)
+		now = now.Add(pause)
+		for _, s := range sets {
+			s.fleet.isCut = true
+		}
+		c.Assert(countTrials(sets, digest, now), qt.Equals, 0)
+		c.Assert(countTrials(sets, digest, now.Add(announceTime)), qt.Equals, 0)
+		for _, s := range sets {
+			s.fleet.isCut = false
+		}
+		c.Assert(countTrials(sets, digest, now), qt.Equals, 0)
+		now = now.Add(announceTime)
+		c.Assert(countTrials(sets, digest, now), qt.Equals, 1)
+		for _, s := range sets {
+			if e := s.entries[digest]; e.trial != nil {
+				c.Assert(s.AddLoss(digest, server(10+i), now, now), qt.Equals, maxCrashes+i+1)
+				s.EndTrial(digest, true)
+			}
+		}
+		syncAll(sets, now)
+	}
+	c.Assert(countTrials(sets, digest, start.Add(crashTTL)), qt.Equals, 0)
+	c.Assert(countTrials(sets, digest, start.Add(crashTTL-announceTime)), qt.Equals, 0)
+}
+
+// TestTrialIsNotRepeatedByOtherGateways guards against a gateway that is killed during a
+// trial, so that the others, or its next incarnation, know nothing of it.
+func TestTrialIsNotRepeatedByOtherGateways(t *testing.T) {
+	c := qt.New(t)
+	const digest = 7
+	sets := newBlockedFleet(digest)
+	now := start.Add(trialPauses[0])
+	c.Assert(countTrials(sets, digest, now), qt.Equals, 0)
+	now = now.Add(announceTime)
+	c.Assert(countTrials(sets, digest, now), qt.Equals, 1)
+	for i, s := range sets {
+		if s.entries[digest].trial != nil {
+			sets[i] = New(999)
+			sets[i].SetFleet(s.fleet.own, s.fleet.others, false)
+		}
+	}
+	syncAll(sets, now)
+	syncAll(sets, now)
+	for at := now; at.Before(now.Add(trialPauses[1] - announceTime)); at = at.Add(time.Second) {
+		c.Assert(countTrials(sets, digest, at), qt.Equals, 0)
+	}
+}
+
+// TestTrialWithoutServerIsMadeAgain guards against a request that stays blocked because its
+// trial reached no server.
+func TestTrialWithoutServerIsMadeAgain(t *testing.T) {
+	c := qt.New(t)
+	const digest = 7
+	sets := newBlockedFleet(digest)
+	now := start.Add(trialPauses[0])
+	for range 3 {
+		c.Assert(countTrials(sets, digest, now), qt.Equals, 0)
+		now = now.Add(announceTime)
+		c.Assert(countTrials(sets, digest, now), qt.Equals, 1)
+		for _, s := range sets {
+			s.EndTrial(digest, false)
+		}
+		syncAll(sets, now)
+	}
+	c.Assert(countTrials(sets, digest, now), qt.Equals, 0)
+	now = now.Add(announceTime)
+	for _, s := range sets {
+		if s.Admit(digest, now) == Trial {
+			s.AddServed(digest, now)
+			s.EndTrial(digest, true)
+		}
+	}
+	syncAll(sets, now)
+	for _, s := range sets {
+		c.Assert(s.Admit(digest, now), qt.Equals, Clear)
+	}
+}
+
 func TestOldestRequestIsForgottenBeyondLimit(t *testing.T) {
 	c := qt.New(t)
 	s := New(1)
