Entry: all entries know a culprit before its caller is answered

Cause: the entry that learns of a culprit answered its caller at once. Other entries learned of it from their own stream to the agent, or from this entry's message, both on their way still when the caller's next send arrived there.

Evidence: TestCulpritIsKnownToAllEntriesBeforeItsCallerIsAnswered delays what agents answer by up to 80 ms at random, and what entries send to each other by 80 ms.

--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -323,12 +323,16 @@
 		return j.retryOrRefuse(ctx, &retry{free: true})
 	case encoder.CodeGenerationClosed:
 		return j.handleClosedGeneration(ctx, r)
-	case encoder.CodeKeyReused, encoder.CodeCulprit:
+	case encoder.CodeCulprit:
+		// The caller may send the request again, through any entry instance, once it is answered.
+		j.onSuspects(ctx, []*encoder.Suspect{j.newSuspect(target, true)})
+		return &finished{j.refuse(ctx, r.GetCode(), r.GetStep())}
+	case encoder.CodeKeyReused:
 		return &finished{j.refuse(ctx, r.GetCode(), r.GetStep())}
 	case encoder.CodeOutcomeUnknown:
 		return &finished{j.newOutcomeUnknown(r)}
 	case encoder.CodeCrashed:
-		j.markSuspect(target)
+		j.markSuspect(ctx, target)
 	case encoder.CodeLeaving:
 		target.SetAvailable(false)
 		return j.retryOrRefuse(ctx, &retry{free: true})
@@ -379,9 +383,13 @@
 
 // markSuspect isolates the next attempt from other suspects and reports the
 // suspect to the other entry instances.
-func (j *job) markSuspect(target *tracker.Target) {
+func (j *job) markSuspect(ctx context.Context, target *tracker.Target) {
 	j.isolated = true
-	j.onSuspects([]*encoder.Suspect{{
-		Digest: j.Digest, Instance: target.Name, ExpiresMicros: time.Now().Add(isolator.SuspectTTL).UnixMicro(),
-	}})
+	go j.onSuspects(context.WithoutCancel(ctx), []*encoder.Suspect{j.newSuspect(target, false)})
+}
+
+func (j *job) newSuspect(target *tracker.Target, isCulprit bool) *encoder.Suspect {
+	return &encoder.Suspect{
+		Digest: j.Digest, Instance: target.Name, Culprit: isCulprit, ExpiresMicros: time.Now().Add(isolator.SuspectTTL).UnixMicro(),
+	}
 }
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -97,15 +97,16 @@
 	suspects     *isolator.Set
 	activeConfig *registrar.ActiveConfig
 	retryBudgets *retryBudgets
-	onSuspects   func([]*encoder.Suspect)
+	onSuspects   func(context.Context, []*encoder.Suspect)
 	onBehind     func(*tracker.Target)
 }
 
 // Option configures a Dispatcher.
 type Option func(*Dispatcher)
 
-// WithSuspects calls f with the suspects that an attempt found.
-func WithSuspects(f func([]*encoder.Suspect)) Option {
+// WithSuspects calls f with the suspects that an attempt found. f returns once the other
+// entry instances that can be reached know them.
+func WithSuspects(f func(context.Context, []*encoder.Suspect)) Option {
 	return func(d *Dispatcher) { d.onSuspects = f }
 }
 
@@ -119,7 +120,7 @@
 func New(t *tracker.Tracker, pool *connector.Pool, newPicker func() *picker.Picker, g *guard.Registry, s *isolator.Set, active *registrar.ActiveConfig, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		tracker: t, pool: pool, newPicker: newPicker, pickers: make(map[string]*picker.Picker), executions: g, suspects: s, activeConfig: active, retryBudgets: newRetryBudgets(),
-		onSuspects: func([]*encoder.Suspect) {}, onBehind: func(*tracker.Target) {},
+		onSuspects: func(context.Context, []*encoder.Suspect) {}, onBehind: func(*tracker.Target) {},
 	}
 	for _, opt := range opts {
 		opt(d)
