Agent: no request is handed over to a server that was not seen since its crash

What callers saw: of poison requests in quick succession one got answer_broken in place of request_crashes_backend: its second crash was not noticed, so that it was retried as if only a connection had broken, and crashed a third server.

Cause: the agent tells a crash by the boot ID, which it forgets when a crashed server doesn't answer the probe. Until the next health check every probe that succeeds says "no crash". Class: unknown compared as if it were equal.

Fix: a run knows whether the server was seen since its crash. If not, the request is refused as not run, and the entry takes another server.

--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -117,6 +117,10 @@
 	}
 	a.monitored = run
 	defer run.Finish()
+	if run.IsUnseen {
+		a.refuse(encoder.CodeBusy, "check_backend", encoder.Execution_EXECUTION_NOT_RUN, "the backend server has crashed and was not seen since")
+		return
+	}
 	if a.req.GetIdempotent() {
 		a.runIdempotent(ctx)
 		return
--- a/internal/suspect/isolator/watch.go
+++ b/internal/suspect/isolator/watch.go
@@ -35,8 +35,11 @@
 	isolated string
 	// boot is the boot ID with which the runs in flight began, empty before the first
 	// health check and after a crash.
-	boot    string
-	crashes uint64
+	boot string
+	// isRestarting is set by a crash after which the backend server did not answer, until a
+	// health check has seen it again.
+	isRestarting bool
+	crashes      uint64
 	// pendingCrash is the presumed crash that is being probed, nil if there is none.
 	// latestCrash was probed and found to be one, nil before the first.
 	pendingCrash, latestCrash *crash
@@ -65,6 +68,10 @@
 	suspect bool
 	// crashesBefore counts the crashes that were detected before the run.
 	crashesBefore uint64
+	// IsUnseen is set if the backend server has crashed and was not seen since. Its boot ID
+	// is unknown, so that it could crash again unnoticed: the request must not be handed
+	// over.
+	IsUnseen bool
 }
 
 // StartRun registers a run. It returns ErrOccupied for a suspect while another one
@@ -81,7 +88,7 @@
 		m.isolated = key
 	}
 	m.inFlight[key]++
-	return &Run{Monitor: m, digest: key, suspect: suspect, crashesBefore: m.crashes}, nil
+	return &Run{Monitor: m, digest: key, suspect: suspect, crashesBefore: m.crashes, IsUnseen: m.isRestarting}, nil
 }
 
 // Finish ends the run.
@@ -102,6 +109,7 @@
 func (m *Monitor) SetBoot(boot string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.isRestarting = false
 	if m.boot == "" || len(m.inFlight) == 0 {
 		m.boot = boot
 	}
@@ -156,7 +164,7 @@
 		m.crashes++
 		m.latestCrash = c
 		m.lastSuspects = m.newSuspects(c)
-		m.boot = boot
+		m.boot, m.isRestarting = boot, err != nil
 	}
 	close(c.done)
 }
--- a/internal/suspect/isolator/watch_test.go
+++ b/internal/suspect/isolator/watch_test.go
@@ -85,3 +85,24 @@
 	m.SetBoot("2")
 	c.Assert(startRun(c, m, "a").DetectCrash(c.Context()), qt.IsFalse)
 }
+
+// TestRunOnUnseenIncarnationIsNotHandedOver guards against a run on a server that has just
+// restarted, whose boot ID no health check has seen: its crash can't be told by the boot ID.
+func TestRunOnUnseenIncarnationIsNotHandedOver(t *testing.T) {
+	c := qt.New(t)
+	boot, probeErr := "", errors.New("refused")
+	m := NewMonitor("agent-1", func(context.Context) (string, error) { return boot, probeErr })
+	m.SetBoot("1")
+	first := startRun(c, m, "a")
+	c.Assert(first.IsUnseen, qt.IsFalse)
+	c.Assert(first.DetectCrash(c.Context()), qt.IsTrue)
+	first.Finish()
+	unseen := startRun(c, m, "b")
+	c.Assert(unseen.IsUnseen, qt.IsTrue)
+	unseen.Finish()
+	m.SetBoot("2")
+	seen := startRun(c, m, "c")
+	c.Assert(seen.IsUnseen, qt.IsFalse)
+	boot, probeErr = "3", nil
+	c.Assert(seen.DetectCrash(c.Context()), qt.IsTrue)
+}
