Entry: an entry that starts learns of culprits before it accepts requests

What callers saw: after the start of an entry instance, a poison request that all others refused crashed two more servers through it.

Cause: suspects were sent once, to the peers of that moment. An entry that was not there, or that a message did not reach, heard only of the latest crash of each agent. The list that was meant for new peers was never sent.

Fix: entries compare their sets by a fingerprint with one peer in each sync interval and take over what they lack. One that starts asks all peers first, and answers not_ready until each has answered or 300 ms have passed.

--- a/internal/entry/server/callers.go
+++ b/internal/entry/server/callers.go
@@ -118,6 +118,10 @@
 		resp.refuse(newProblem(http.StatusServiceUnavailable, encoder.CodeNotReady, "accept", "this instance has no configuration yet"))
 		return
 	}
+	if !s.suspectsKnown.Load() {
+		resp.refuse(newProblem(http.StatusServiceUnavailable, encoder.CodeNotReady, "accept", "crashes seen by other instances are not known yet"))
+		return
+	}
 	req, problem := s.newRequest(resp.w, r, resp.id, find)
 	if problem != nil {
 		resp.refuse(problem)
--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -24,8 +24,7 @@
 	case *encoder.Open_Share:
 		err = st.Send(s.handleShareReport(k.Share))
 	case *encoder.Open_Suspects:
-		s.addSuspects(k.Suspects.GetSuspects())
-		err = st.Send(&encoder.StatusQuery{})
+		err = st.Send(s.handleSuspects(k.Suspects))
 	case *encoder.Open_Status:
 		err = st.Send(s.getStatus(k.Status))
 	default:
@@ -48,9 +47,14 @@
 	peers := s.tracker.GetPeers()
 	if len(peers) == 0 {
 		s.bootstrapFromSeeds(ctx)
+		if s.configured.Load() {
+			// There is no other entry instance to ask.
+			s.suspectsKnown.Store(true)
+		}
 		return
 	}
 	in := peers[rand.IntN(len(peers))]
+	s.querySuspects(ctx, in.Address)
 	if err := s.syncer.Reconcile(ctx, in.Address); err != nil {
 		log.Debug("failed to exchange configuration", "peer", in.Name, "error", err)
 		return
@@ -86,6 +90,8 @@
 		s.tracker.SetInstances(s.backgroundCtx, decodeInstances(status.GetInstances()))
 		s.updatePeers()
 	}
+	s.querySuspects(ctx, addr)
+	s.suspectsKnown.Store(true)
 	s.setConfigured(status.GetInstance())
 	return true
 }
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -59,6 +59,9 @@
 	pollCount atomic.Uint64
 	// configured says that a configuration was read from the platform or a peer.
 	configured atomic.Bool
+	// suspectsKnown says that the entry instances that could be reached at the start were
+	// asked for the suspects that they know.
+	suspectsKnown atomic.Bool
 	drainer.Gate
 }
 
@@ -158,6 +161,7 @@
 		return
 	}
 	s.updatePeers()
+	s.learnSuspects(ctx)
 }
 
 // instanceListReaders is the approximate number of entry instances per
@@ -219,58 +223,7 @@
 
 // IsReady reports whether the instance accepts requests.
 func (s *Server) IsReady() bool {
-	return s.configured.Load() && !s.IsDraining()
-}
-
-// publishTimeout bounds the wait for peers to learn of a suspect. A peer that does not
-// answer, as in a network partition, holds up the caller's answer for that long.
-const publishTimeout = 300 * time.Millisecond
-
-// addSuspects adds suspects and sends those that changed the set to all peers, in the
-// background.
-func (s *Server) addSuspects(list []*encoder.Suspect) {
-	if added := s.recordSuspects(list); len(added) > 0 {
-		s.sendSuspects(added)
-	}
-}
-
-// publishSuspects adds suspects and waits until all peers know them, also if this instance
-// knew them already: it may have told the peers just before.
-func (s *Server) publishSuspects(ctx context.Context, list []*encoder.Suspect) {
-	s.recordSuspects(list)
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
-	defer cancel()
-	select {
-	case <-s.sendSuspects(list):
-	case <-ctx.Done():
-	}
-}
-
-// recordSuspects adds suspects and returns those that changed the set.
-func (s *Server) recordSuspects(list []*encoder.Suspect) []*encoder.Suspect {
-	added := s.suspects.Add(list...)
-	for _, e := range added {
-		if e.GetCulprit() {
-			s.recorder.AddEvent("culprit", "request %x crashed %s and is refused", e.GetDigest()[:4], e.GetInstance())
-		}
-	}
-	return added
-}
-
-// sendSuspects sends suspects to all peers and closes the returned channel once each has
-// acknowledged them or could not be reached.
-func (s *Server) sendSuspects(list []*encoder.Suspect) <-chan struct{} {
-	open := &encoder.Open{Kind: &encoder.Open_Suspects{Suspects: &encoder.SuspectReport{Suspects: list}}}
-	var wg sync.WaitGroup
-	for _, in := range s.tracker.GetPeers() {
-		wg.Go(func() { s.sendToPeer(s.backgroundCtx, in, open) })
-	}
-	done := make(chan struct{})
-	go func() {
-		wg.Wait()
-		close(done)
-	}()
-	return done
+	return s.configured.Load() && s.suspectsKnown.Load() && !s.IsDraining()
 }
 
 // sendToPeer sends one message to a peer and waits for the acknowledgement.
--- a/internal/standin/starter/suspect_test.go
+++ b/internal/standin/starter/suspect_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/Shopify/toxiproxy"
 	qt "github.com/frankban/quicktest"
@@ -60,3 +62,36 @@
 		c.Check(f.countCrashes()-before <= 2, qt.IsTrue, qt.Commentf("request %d: %d crashes", n, f.countCrashes()-before))
 	}
 }
+
+// TestEntryThatStartsKnowsCulprits guards against an entry that was not there when culprits
+// were found, and whose agents report only the suspects of their latest crash.
+func TestEntryThatStartsKnowsCulprits(t *testing.T) {
+	c := qt.New(t)
+	const requests = 24
+	f := newFleet(c, 2, 6)
+	client := checker.NewClient(DemoKey)
+	send := func(entry string, n int) *checker.Outcome {
+		return client.Do(context.Background(), f.callersAddr(entry), newStreamCall(fmt.Sprint(poisonText, " ", n), 5))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for n := range requests {
+		// Servers that have crashed are busy until they were seen again.
+		c.Assert(WaitFor(ctx, func() error {
+			if out := send("entry-0", n); out.Code != "request_crashes_backend" {
+				return errors.New(out.Code)
+			}
+			return nil
+		}), qt.IsNil)
+	}
+	late, err := f.AddEntry("entry-late", "zone-0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(f.WaitRouted(ctx, late, 6), qt.IsNil)
+	before := f.countCrashes()
+	for n := range requests {
+		out := send("entry-late", n)
+		c.Check(out.Code, qt.Equals, "request_crashes_backend")
+		c.Check(out.Execution, qt.Equals, "not_run")
+	}
+	c.Assert(f.countCrashes(), qt.Equals, before)
+}
--- a/internal/suspect/isolator/set.go
+++ b/internal/suspect/isolator/set.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"siskinfall/internal/wire/encoder"
 )
 
@@ -98,13 +100,31 @@
 	return Suspect
 }
 
-// List returns all elements, to be sent to a new peer.
+// List returns all unexpired elements, for a peer that lacks some.
 func (s *Set) List() []*encoder.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now().UnixMicro()
 	list := make([]*encoder.Suspect, 0, len(s.elements))
 	for _, e := range s.elements {
-		list = append(list, e)
+		if e.GetExpiresMicros() > now {
+			list = append(list, e)
+		}
 	}
 	return list
 }
+
+// Fingerprint returns a hash of the digests and verdicts of all unexpired elements, 0 if
+// there are none.
+func (s *Set) Fingerprint() uint64 {
+	sum := uint64(0)
+	for _, e := range s.List() {
+		d := xxhash.NewWithSeed(uint64(len(e.GetDigest())))
+		_, _ = d.Write(e.GetDigest())
+		if e.GetCulprit() {
+			_, _ = d.Write([]byte{1})
+		}
+		sum += d.Sum64()
+	}
+	return sum
+}
