Tests: the entry of the handler tests has learned its peers' suspects

It now learns from its peers, of which it has none, as a poll does. No check changes. entry/server and entry/dispatcher pass.

--- a/internal/entry/server/callers_test.go
+++ b/internal/entry/server/callers_test.go
@@ -61,6 +61,7 @@
 	client := storer.NewClient(netip.MustParseAddrPort(platform.Listener.Addr().String()), storer.WithTimeout(time.Second))
 	e := &testEntry{Server: New(ctx, cfg, 1, client)}
 	e.activeConfig.Apply(newEntities(c, kind))
+	e.learnSuspects(ctx)
 	e.setConfigured("test")
 	agent := startAgent(ctx, c, answer)
 	e.tracker.SetInstances(ctx, []storer.Instance{agent})
