Gateway: a gateway that is cut off keeps its share of the retry budget

What would be seen: in a network partition of more than 20 s both sides repeat up to the whole retry budget, twice as much together as is allowed.

Cause: the budget's slack is divided by the number of gateways that this one sees, and a silent one stopped counting after 20 s, when it is no longer polled. Class: a share of a whole by a count on which the processes differ.

Fix: a gateway that is no longer a member keeps its share for 15 minutes. Placing and the pace of polls still go by the members.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -39,6 +39,9 @@
 	// memberTTL is how long a gateway that does not answer stays a member, unless a seed
 	// has its address. It also bounds the wait for the next request on a served stream.
 	memberTTL = 20 * time.Second
+	// shareTTL is how long a gateway that is no longer a member keeps its share of the
+	// fleet's totals. It exceeds the usual length of a network partition between regions.
+	shareTTL = 15 * time.Minute
 	// livenessTimeout is how long a gateway counts as live after its last answer.
 	livenessTimeout = 3 * time.Second
 	// firstAnswersTimeout bounds the wait for the first answers of all gateways that are known
@@ -68,12 +71,15 @@
 	servers *lister.Lister
 	losses  *quarantiner.Set
 	seeds   []netip.AddrPort
-	// onGatewayCount receives the number of gateways, this one included.
-	onGatewayCount func(int)
+	// onGatewayCount receives the number of gateways, this one included, and the number among
+	// which the fleet's totals are divided.
+	onGatewayCount func(members, sharers int)
 	// started is when Run began.
 	started time.Time
 	mu      sync.Mutex
 	members map[netip.AddrPort]*member
+	// gone holds when members expired that keep their share of the fleet's totals.
+	gone map[netip.AddrPort]time.Time
 	// encoded is the catalog of encodedVersion as JSON.
 	encoded        []byte
 	encodedVersion uint64
@@ -81,11 +87,12 @@
 
 // New returns a Gossiper. own is the address of this gateway's listener for peers;
 // seeds may be stale. onGatewayCount receives the number of gateways, this one
-// included, on every update of the members.
-func New(own netip.AddrPort, seeds []netip.AddrPort, pool *connector.Pool, catalog *holder.Holder, servers *lister.Lister, losses *quarantiner.Set, onGatewayCount func(int)) *Gossiper {
+// included, on every update of the members, and the number that may use a share of the
+// fleet's totals.
+func New(own netip.AddrPort, seeds []netip.AddrPort, pool *connector.Pool, catalog *holder.Holder, servers *lister.Lister, losses *quarantiner.Set, onGatewayCount func(members, sharers int)) *Gossiper {
 	return &Gossiper{
 		own: own, seeds: seeds, pool: pool, catalog: catalog, servers: servers, losses: losses, onGatewayCount: onGatewayCount,
-		members: make(map[netip.AddrPort]*member),
+		members: make(map[netip.AddrPort]*member), gone: make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -112,6 +119,7 @@
 	if m == nil {
 		m = &member{lastAnswer: now}
 		g.members[addr] = m
+		delete(g.gone, addr)
 	}
 	m.lastReported = now
 }
@@ -128,9 +136,9 @@
 			// same on all gateways.
 			g.add(netip.AddrPortFrom(seed.Addr(), g.own.Port()), now)
 		}
-		n := g.update(ctx, &wg, now)
-		g.onGatewayCount(n)
-		if n == 1 {
+		members, sharers := g.update(ctx, &wg, now)
+		g.onGatewayCount(members, sharers)
+		if members == 1 {
 			g.losses.SetComplete()
 		}
 		g.updateFleet(now)
@@ -139,9 +147,9 @@
 }
 
 // update removes expired members, starts a goroutine for each new one, and returns the
-// number of gateways. Members that do not answer count until they expire: during a
-// network partition they keep running and use their share of the fleet's totals.
-func (g *Gossiper) update(ctx context.Context, wg *sync.WaitGroup, now time.Time) int {
+// number of gateways, and the number that may use a share of the fleet's totals: during a
+// network partition, those that do not answer keep running.
+func (g *Gossiper) update(ctx context.Context, wg *sync.WaitGroup, now time.Time) (members, sharers int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for addr, m := range g.members {
@@ -150,6 +158,7 @@
 				m.cancel()
 			}
 			delete(g.members, addr)
+			g.gone[addr] = now
 			continue
 		}
 		if m.cancel == nil {
@@ -160,7 +169,12 @@
 			wg.Go(func() { g.pollMember(memberCtx, addr) })
 		}
 	}
-	return len(g.members) + 1
+	for addr, at := range g.gone {
+		if now.Sub(at) > shareTTL {
+			delete(g.gone, addr)
+		}
+	}
+	return len(g.members) + 1, len(g.members) + len(g.gone) + 1
 }
 
 func (g *Gossiper) hasSeedAddr(addr netip.AddrPort) bool {
--- a/internal/fleet/gossiper/gossiper_test.go
+++ b/internal/fleet/gossiper/gossiper_test.go
@@ -50,7 +50,7 @@
 		g.catalog.OnChange(func(x *holder.Catalog) { g.versions <- x.Version })
 		pool := connector.NewPool(hello)
 		context.AfterFunc(ctx, pool.Close)
-		g.Gossiper = New(own, []netip.AddrPort{seed}, pool, g.catalog, lister.New(), quarantiner.New(1), func(n int) {
+		g.Gossiper = New(own, []netip.AddrPort{seed}, pool, g.catalog, lister.New(), quarantiner.New(1), func(n, _ int) {
 			select {
 			case <-g.counts:
 			default:
@@ -84,6 +84,30 @@
 	}
 }
 
+// TestGatewayThatIsCutOffKeepsItsShareOfTotals guards against two sides of a long network
+// partition that divide the fleet's totals among themselves only, and use them twice.
+func TestGatewayThatIsCutOffKeepsItsShareOfTotals(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	now := time.Now()
+	own := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, 1}), 80)
+	pool := connector.NewPool(&encoder.Hello{}, connector.WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, net.ErrClosed }))
+	g := New(own, nil, pool, holder.New(), lister.New(), quarantiner.New(1), func(int, int) {})
+	g.AddGateways([]string{"127.0.2.2:80", "127.0.2.3:80"})
+	members, sharers := g.update(ctx, &wg, now)
+	c.Assert([]int{members, sharers}, qt.DeepEquals, []int{3, 3})
+	members, sharers = g.update(ctx, &wg, now.Add(memberTTL+time.Second))
+	c.Assert([]int{members, sharers}, qt.DeepEquals, []int{1, 3})
+	g.add(netip.MustParseAddrPort("127.0.2.2:80"), now.Add(memberTTL+time.Second))
+	members, sharers = g.update(ctx, &wg, now.Add(memberTTL+2*time.Second))
+	c.Assert([]int{members, sharers}, qt.DeepEquals, []int{2, 3})
+	_, sharers = g.update(ctx, &wg, now.Add(2*memberTTL+shareTTL))
+	c.Assert(sharers, qt.Equals, 1+1)
+}
+
 // TestAnswerOmitsGatewaysWhenDigestsMatch compares a requester that has no gateways
 // with one that has the same ones.
 func TestAnswerOmitsGatewaysWhenDigestsMatch(t *testing.T) {
@@ -91,7 +115,7 @@
 	now := time.Now()
 	newGossiper := func(own byte) *Gossiper {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, own}), 80)
-		return New(addr, nil, nil, holder.New(), lister.New(), quarantiner.New(1), func(int) {})
+		return New(addr, nil, nil, holder.New(), lister.New(), quarantiner.New(1), func(int, int) {})
 	}
 	a, b := newGossiper(1), newGossiper(2)
 	a.AddGateways([]string{"127.0.2.2:80", "127.0.2.3:80"})
@@ -108,7 +132,7 @@
 // often with each member, and still often enough that live gateways count as live.
 func TestSyncIntervalGrowsWithNumberOfGateways(t *testing.T) {
 	c := qt.New(t)
-	g := New(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, 1}), 80), nil, nil, holder.New(), lister.New(), quarantiner.New(1), func(int) {})
+	g := New(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, 1}), 80), nil, nil, holder.New(), lister.New(), quarantiner.New(1), func(int, int) {})
 	c.Assert(g.currentSyncInterval(), qt.Equals, syncInterval)
 	for i := range 44 {
 		g.add(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 3, byte(i)}), 80), time.Now())
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -92,10 +92,10 @@
 	if cfg.Gateway.AdvertisePeers.IsValid() {
 		peersAddr = cfg.Gateway.AdvertisePeers
 	}
-	g.gossiper = gossiper.New(peersAddr, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.quarantine, func(n int) {
-		g.retryBudget.SetGateways(n)
-		g.placer.SetGateways(n)
-		g.watcher.SetGateways(n)
+	g.gossiper = gossiper.New(peersAddr, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.quarantine, func(members, sharers int) {
+		g.retryBudget.SetGateways(sharers)
+		g.placer.SetGateways(members)
+		g.watcher.SetGateways(members)
 	})
 	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways)
 	g.servers.OnChange(g.subscriber.SetServers)
