Gateway: lists of servers are ordered by the store's era, then by revision

Callers saw: after a drill that replaced the servers every gateway refused all requests, until the store's revisions had overtaken those of before.

Cause: lister.Replace, Merge and Apply took the highest revision for the newest. A restored store gives out lower ones, so its list was ignored; a watch went on from a revision that was given out again and missed what had changed before it. Beside it, a catalog in force counted as confirmed by a store that had an older one, so requests could be denied by it (404, 401).

Change: a Position is an era and a revision. A response of a higher era is never applied as changes: the table is read again, and the other watch of the process ends, also when a peer reports the era first. An era that falls is an error line, none at all is today's order by revision. A gateway that starts has its peers' catalog before it counts as ready.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -272,8 +272,10 @@
 // newSync returns a message with the versions of this gateway's state, without the state
 // itself.
 func (g *Gossiper) newSync(now time.Time) *encoder.GatewaySync {
+	lastChange := g.servers.GetLastChange()
 	return &encoder.GatewaySync{
-		Address: g.own.String(), GatewaysDigest: g.digest(g.liveGateways(now)), CatalogVersion: g.catalog.GetVersion(), ServersRevision: g.servers.GetChangeRevision(),
+		Address: g.own.String(), GatewaysDigest: g.digest(g.liveGateways(now)), CatalogVersion: g.catalog.GetVersion(),
+		ServersEra: lastChange.Era, ServersRevision: lastChange.Revision,
 		CatalogAgeMillis:  uint64(min(g.catalog.GetAge(now), memberTTL).Milliseconds()),
 		LossesFingerprint: g.losses.Fingerprint(now),
 	}
@@ -306,17 +308,22 @@
 		}
 		m.Catalog = data
 	}
-	servers, revision := g.servers.GetSnapshot()
-	if revision > request.GetServersRevision() {
+	servers, lastChange := g.servers.GetSnapshot()
+	if serversPosition(request).Before(lastChange) {
 		data, err := json.Marshal(servers)
 		if err != nil {
 			return nil, err
 		}
-		m.Servers, m.ServersRevision = data, revision
+		m.Servers, m.ServersEra, m.ServersRevision = data, lastChange.Era, lastChange.Revision
 	}
 	return m, nil
 }
 
+// serversPosition returns the position of the newest change of the sender's servers.
+func serversPosition(m *encoder.GatewaySync) lister.Position {
+	return lister.Position{Era: m.GetServersEra(), Revision: m.GetServersRevision()}
+}
+
 // encodeCatalog returns the catalog as JSON, encoded once for each version.
 func (g *Gossiper) encodeCatalog(c *holder.Catalog) ([]byte, error) {
 	g.mu.Lock()
@@ -373,7 +380,8 @@
 	g.mu.Unlock()
 	g.AddGateways(m.GetGateways())
 	g.mergeLosses(m, addr.String(), now)
-	g.setTried(addr)
+	// A gateway that starts is ready after the first answers, so their catalog goes first.
+	defer g.setTried(addr)
 	if len(m.GetCatalog()) > 0 {
 		c := &holder.Catalog{}
 		if err := json.Unmarshal(m.GetCatalog(), c); err != nil {
@@ -391,7 +399,7 @@
 		if err := json.Unmarshal(m.GetServers(), &servers); err != nil {
 			log.Error("failed to decode server list from peer", "event", "bad_news", "peer", addr, "error", err)
 		} else {
-			g.servers.Merge(servers, m.GetServersRevision(), now)
+			g.servers.Merge(servers, serversPosition(m), now)
 		}
 	}
 }
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -24,8 +24,43 @@
 	Leaving bool `json:"leaving"`
 	// Started differs between incarnations with the same ID.
 	Started time.Time `json:"started"`
-	// Revision grows with each change of the entry.
+	// Revision grows with each change of the entry within one era of the store.
 	Revision uint64 `json:"revision"`
+	// Lapsed is set, in a snapshot only, for a server that is still in use although its
+	// entry is missing. Gone and WasLeaving are set there for a server that was gone or
+	// leaving before the store was restored, and whose entry is from the copy.
+	Lapsed     bool `json:"lapsed,omitempty"`
+	Gone       bool `json:"gone,omitempty"`
+	WasLeaving bool `json:"was_leaving,omitempty"`
+}
+
+// incarnation identifies one start of a backend server, in Unix milliseconds.
+type incarnation struct {
+	id      string
+	started int64
+}
+
+func (s Server) incarnation() incarnation { return incarnation{s.ID, s.Started.UnixMilli()} }
+
+// equal reports whether two entries have the same content.
+func (s Server) equal(o Server) bool {
+	started := s.Started.Equal(o.Started)
+	s.Started, o.Started = time.Time{}, time.Time{}
+	return started && s == o
+}
+
+// Position is a point in the history of the store.
+type Position struct {
+	// Era counts how often the store was restored from an older copy; 0 if it does not
+	// report that. Revisions are comparable only within one era.
+	Era uint64
+	// Revision is the store's transaction counter.
+	Revision uint64
+}
+
+// Before reports whether p is earlier than q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
 }
 
 // Change is a server's entry, or its removal.
@@ -43,22 +78,53 @@
 // running servers register again within about two seconds of the store's recovery.
 const lapseGrace = 2500 * time.Millisecond
 
+const (
+	// endingTTL is how long a server that is leaving or gone is remembered. It exceeds the
+	// age of the copies that the store is restored from.
+	endingTTL = 2 * time.Minute
+	// restoredGrace is how long a restored entry of a server that was gone is ignored. The
+	// store removes the entry of a server that no longer runs after a few seconds.
+	restoredGrace = 10 * time.Second
+)
+
+// lapsedEntry is a server that is in use without an entry, until deadline.
+type lapsedEntry struct {
+	Server
+	deadline time.Time
+}
+
+// ending says that an incarnation is leaving or gone.
+type ending struct {
+	// era is the one in which that was read, revision that of the latest entry.
+	era, revision uint64
+	// gone is set if the entry was removed; otherwise the server is leaving.
+	gone bool
+	at   time.Time
+}
+
 // Lister holds the servers in use. It is safe for concurrent use.
 type Lister struct {
 	mu sync.Mutex
-	// servers holds the entries in use by ID, lapsed ones included.
-	servers map[string]Server
-	// lapsed holds, by ID, when a lapsed entry is dropped.
-	lapsed map[string]time.Time
-	// revision is the store revision up to which changes are applied, lastChange the
-	// revision of the newest change.
-	revision, lastChange uint64
-	onChange             []func([]Server)
+	// entries holds the entries in the store at position, by ID.
+	entries map[string]Server
+	// lapsed holds servers in use whose entry is missing, by ID; no ID is also in entries.
+	lapsed map[string]lapsedEntry
+	// endings outlive the entries: a restored store lists servers that have left since.
+	endings map[incarnation]ending
+	// position is the point in the store's history up to which changes are applied,
+	// lastChange that of the newest change.
+	position, lastChange Position
+	// restoredAt is when the era rose last, zero if it never has. Entries with a revision
+	// above eraStart were written since.
+	restoredAt time.Time
+	eraStart   uint64
+	onChange   []func([]Server)
+	onEra      []func(uint64)
 }
 
 // New returns an empty Lister.
 func New() *Lister {
-	return &Lister{servers: make(map[string]Server), lapsed: make(map[string]time.Time)}
+	return &Lister{entries: make(map[string]Server), lapsed: make(map[string]lapsedEntry), endings: make(map[incarnation]ending)}
 }
 
 // OnChange adds a function that is called with all servers after each change.
@@ -68,6 +134,14 @@
 	l.onChange = append(l.onChange, f)
 }
 
+// OnEra adds a function that is called with the store's era when it rises. It must not
+// call the Lister.
+func (l *Lister) OnEra(f func(era uint64)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onEra = append(l.onEra, f)
+}
+
 // GetAll returns the servers in use.
 func (l *Lister) GetAll() []Server {
 	l.mu.Lock()
@@ -75,124 +149,260 @@
 	return l.list()
 }
 
-// GetRevision returns the store revision up to which changes are applied.
-func (l *Lister) GetRevision() uint64 {
+// GetPosition returns the point in the store's history up to which changes are applied.
+func (l *Lister) GetPosition() Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.revision
+	return l.position
 }
 
+// list returns the servers in use.
 func (l *Lister) list() []Server {
-	all := make([]Server, 0, len(l.servers))
-	for _, s := range l.servers {
+	all := make([]Server, 0, len(l.entries)+len(l.lapsed))
+	for _, s := range l.entries {
+		if e, ok := l.getEnding(s); ok {
+			if e.gone {
+				continue
+			}
+			s.Leaving = true
+		}
 		all = append(all, s)
 	}
+	for _, s := range l.lapsed {
+		all = append(all, s.Server)
+	}
 	return all
 }
 
-// GetChangeRevision returns the revision of the newest change of an entry.
-func (l *Lister) GetChangeRevision() uint64 {
+// getEnding returns the ending of a server whose entry may be older than it: the entry is
+// from the copy that the store was restored from, unless it was written again since.
+func (l *Lister) getEnding(s Server) (ending, bool) {
+	e, ok := l.endings[s.incarnation()]
+	return e, ok && e.era < l.position.Era && s.Revision <= min(e.revision, l.eraStart)
+}
+
+// GetLastChange returns the position of the newest change of an entry.
+func (l *Lister) GetLastChange() Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.lastChange
 }
 
-// GetSnapshot returns the servers in use and the revision of the newest change.
-func (l *Lister) GetSnapshot() ([]Server, uint64) {
+// GetSnapshot returns the entries, the servers that are in use without one, and the
+// position of the newest change.
+func (l *Lister) GetSnapshot() ([]Server, Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.list(), l.lastChange
+	all := make([]Server, 0, len(l.entries)+len(l.lapsed))
+	for _, s := range l.entries {
+		if e, ok := l.getEnding(s); ok {
+			s.Gone, s.WasLeaving = e.gone, !e.gone
+		}
+		all = append(all, s)
+	}
+	for _, s := range l.lapsed {
+		s.Lapsed = true
+		all = append(all, s.Server)
+	}
+	return all, l.lastChange
 }
 
-// Merge replaces the list with that of another gateway, whose newest change has the
-// revision lastChange, if that change is newer than all here.
-func (l *Lister) Merge(all []Server, lastChange uint64, now time.Time) {
+// Merge replaces the list with the snapshot of another gateway, whose newest change has the
+// position lastChange, if that change is newer than all here.
+func (l *Lister) Merge(snapshot []Server, lastChange Position, now time.Time) {
 	l.mu.Lock()
-	newer := lastChange > l.lastChange
-	revision := max(l.revision, lastChange)
-	l.mu.Unlock()
-	if newer {
-		l.Replace(all, revision, now)
+	defer l.mu.Unlock()
+	if !l.lastChange.Before(lastChange) {
+		return
+	}
+	var all []Server
+	for _, s := range snapshot {
+		isLapsed, hasEnded, isGone := s.Lapsed, s.Gone || s.WasLeaving, s.Gone
+		s.Lapsed, s.Gone, s.WasLeaving = false, false, false
+		if hasEnded {
+			l.endings[s.incarnation()] = ending{era: lastChange.Era - 1, revision: s.Revision, gone: isGone, at: now}
+		}
+		if !isLapsed {
+			all = append(all, s)
+		} else if !l.isInUse(s.ID) {
+			l.lapsed[s.ID] = lapsedEntry{Server: s, deadline: now.Add(lapseGrace)}
+		}
+	}
+	if l.position.Before(lastChange) {
+		l.replace(all, lastChange, now)
+	} else {
+		l.replace(all, l.position, now)
 	}
+	l.setLastChange(lastChange.Revision)
 }
 
-// Replace replaces the whole list with that of a revision. It ignores a list older than
+// Replace replaces the whole list with that of a position. It ignores a list older than
 // the changes already applied.
-func (l *Lister) Replace(all []Server, revision uint64, now time.Time) {
+func (l *Lister) Replace(all []Server, position Position, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.revision {
-		return
+	if !position.Before(l.position) {
+		l.replace(all, position, now)
+	}
+}
+
+func (l *Lister) replace(all []Server, position Position, now time.Time) {
+	restored := position.Era > l.position.Era
+	if restored {
+		l.enterEra(all, position, now)
 	}
 	present := make(map[string]bool, len(all))
 	for _, s := range all {
+		if l.isReplaced(s) {
+			continue
+		}
 		present[s.ID] = true
-		l.put(s)
+		l.put(s, now)
+		l.setLastChange(s.Revision)
 	}
 	var missing []string
-	for id := range l.servers {
+	for _, id := range l.ids() {
 		if !present[id] {
 			missing = append(missing, id)
-			l.lastChange = max(l.lastChange, revision)
+			l.setLastChange(position.Revision)
 		}
 	}
-	l.remove(missing, now)
+	// The copy lacks the servers that registered after it was made, and those register again.
+	l.remove(missing, restored, now)
+	l.position = position
+	l.notify()
+}
+
+// enterEra begins a new era of the store, which has just been restored from an older copy.
+func (l *Lister) enterEra(all []Server, position Position, now time.Time) {
+	old := l.position
+	added, changed, missing := l.compare(all)
+	l.position, l.lastChange, l.eraStart = position, position, position.Revision
+	if old != (Position{}) {
+		l.restoredAt = now
+		restores.Inc()
+		log.Warn("store was restored from an older copy", "event", "store_restored", "old_era", old.Era, "era", position.Era,
+			"old_revision", old.Revision, "revision", position.Revision, "added", added, "changed", changed, "missing", missing)
+	}
+	for _, f := range l.onEra {
+		f(position.Era)
+	}
+}
+
+// isReplaced reports whether an entry of a restored store is of an earlier incarnation than
+// the server in use with that ID.
+func (l *Lister) isReplaced(s Server) bool {
+	current, exists := l.entries[s.ID]
+	e, ended := l.getEnding(s)
+	return exists && current.incarnation() != s.incarnation() && ended && e.gone
+}
+
+// ids returns the IDs of all entries and lapsed servers.
+func (l *Lister) ids() []string {
+	ids := make([]string, 0, len(l.entries)+len(l.lapsed))
+	for id := range l.entries {
+		ids = append(ids, id)
+	}
+	for id := range l.lapsed {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// compare returns how a list differs from the entries.
+func (l *Lister) compare(all []Server) (added, changed, missing int) {
+	missing = len(l.entries)
 	for _, s := range all {
-		l.lastChange = max(l.lastChange, s.Revision)
+		old, exists := l.entries[s.ID]
+		if !exists {
+			added++
+			continue
+		}
+		missing--
+		if !old.equal(s) {
+			changed++
+		}
 	}
-	l.revision = revision
-	l.notify()
+	return added, changed, missing
 }
 
-// Apply applies changes up to a revision, in order. It ignores changes older than those
-// already applied.
-func (l *Lister) Apply(changes []Change, revision uint64, now time.Time) {
+// Apply applies changes up to a position, in order. It ignores changes older than those
+// already applied, and those of another era than the list.
+func (l *Lister) Apply(changes []Change, position Position, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.revision {
+	if position.Era != l.position.Era || position.Before(l.position) {
 		return
 	}
 	var removed []string
 	for _, ch := range changes {
-		l.lastChange = max(l.lastChange, ch.Revision)
+		l.setLastChange(ch.Revision)
 		if ch.Removed {
 			removed = append(removed, ch.ID)
 			continue
 		}
 		removed = slices.DeleteFunc(removed, func(id string) bool { return id == ch.ID })
-		l.put(ch.Server)
+		l.put(ch.Server, now)
 	}
-	l.remove(removed, now)
-	l.revision = revision
+	l.remove(removed, false, now)
+	l.position = position
 	if len(changes) > 0 {
 		l.notify()
 	}
 }
 
-// Expire drops lapsed entries whose grace period has ended.
+// setLastChange records a change in the current era.
+func (l *Lister) setLastChange(revision uint64) {
+	l.lastChange = Position{Era: l.position.Era, Revision: max(l.lastChange.Revision, revision)}
+}
+
+// Expire drops lapsed entries whose grace period has ended, and forgets endings that no
+// longer matter.
 func (l *Lister) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	dropped := false
-	for id, deadline := range l.lapsed {
-		if now.Before(deadline) {
+	changed := false
+	for id, e := range l.lapsed {
+		if now.Before(e.deadline) {
 			continue
 		}
-		l.drop(id, "not back after the store's return")
-		dropped = true
+		l.drop(id, "not back after the store's return", now)
+		changed = true
 	}
-	if dropped {
+	for i, e := range l.endings {
+		restoredEntryIsKept := e.gone && e.era < l.position.Era && now.Sub(l.restoredAt) >= restoredGrace
+		if restoredEntryIsKept || now.Sub(e.at) >= endingTTL {
+			delete(l.endings, i)
+			changed = changed || e.era < l.position.Era
+		}
+	}
+	if changed {
 		l.notify()
 	}
 }
 
-func (l *Lister) put(s Server) {
-	old, exists := l.servers[s.ID]
+func (l *Lister) isInUse(id string) bool {
+	_, hasEntry := l.entries[id]
+	_, hasLapsed := l.lapsed[id]
+	return hasEntry || hasLapsed
+}
+
+func (l *Lister) put(s Server, now time.Time) {
+	old, exists := l.entries[s.ID]
 	delete(l.lapsed, s.ID)
-	if exists && old == s {
+	if _, ended := l.getEnding(s); !ended {
+		delete(l.endings, s.incarnation())
+	}
+	if s.Leaving {
+		l.endings[s.incarnation()] = ending{era: l.position.Era, revision: s.Revision, at: now}
+	}
+	if exists && old.incarnation() != s.incarnation() {
+		l.endings[old.incarnation()] = ending{era: l.position.Era, revision: old.Revision, gone: true, at: now}
+	}
+	l.entries[s.ID] = s
+	if exists && old.equal(s) {
 		return
 	}
-	l.servers[s.ID] = s
 	log.Info("backend server registered", "event", "server", "server", s.ID, "service", s.Service,
 		"address", s.Addr, "availability_zone", s.Zone, "leaving", s.Leaving, "known", exists, "revision", s.Revision)
 }
@@ -200,31 +410,36 @@
 // remove drops servers whose entries were removed from the store. If two or more, and
 // more than minLapseFraction of all, are removed at once, they expired together while
 // the store was down, and the servers may still run: all but leaving ones are kept for
-// lapseGrace.
-func (l *Lister) remove(ids []string, now time.Time) {
-	ids = slices.DeleteFunc(ids, func(id string) bool {
-		_, exists := l.servers[id]
-		return !exists
-	})
-	haveLapsed := float64(len(ids)) > minLapseFraction*float64(len(l.servers)) && len(ids) > 1
+// lapseGrace. So are those that are missing in a restored store.
+func (l *Lister) remove(ids []string, restored bool, now time.Time) {
+	ids = slices.DeleteFunc(ids, func(id string) bool { return !l.isInUse(id) })
+	inUse := len(l.entries) + len(l.lapsed)
+	haveLapsed := restored || float64(len(ids)) > minLapseFraction*float64(inUse) && len(ids) > 1
 	for _, id := range ids {
-		if !haveLapsed || l.servers[id].Leaving {
-			l.drop(id, "entry removed")
+		if _, marked := l.lapsed[id]; marked && haveLapsed {
 			continue
 		}
-		if _, marked := l.lapsed[id]; !marked {
-			l.lapsed[id] = now.Add(lapseGrace)
-			log.Info("backend server entry lapsed", "event", "server_lapsed", "server", id, "together", len(ids), "kept_for", lapseGrace)
+		s := l.entries[id]
+		if !haveLapsed || s.Leaving {
+			l.drop(id, "entry removed", now)
+			continue
 		}
+		delete(l.entries, id)
+		l.lapsed[id] = lapsedEntry{Server: s, deadline: now.Add(lapseGrace)}
+		log.Info("backend server entry lapsed", "event", "server_lapsed", "server", id, "together", len(ids), "kept_for", lapseGrace)
 	}
 }
 
-func (l *Lister) drop(id, reason string) {
-	s := l.servers[id]
-	delete(l.servers, id)
+func (l *Lister) drop(id, reason string, now time.Time) {
+	s, exists := l.entries[id]
+	if !exists {
+		s = l.lapsed[id].Server
+	}
+	delete(l.entries, id)
 	delete(l.lapsed, id)
+	l.endings[s.incarnation()] = ending{era: l.position.Era, revision: s.Revision, gone: true, at: now}
 	log.Info("backend server gone", "event", "server_gone", "server", id, "service", s.Service, "address", s.Addr,
-		"reason", reason, "revision", l.revision)
+		"reason", reason, "revision", l.position.Revision)
 }
 
 func (l *Lister) notify() {
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -9,6 +9,9 @@
 
 var testStart = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
+// at returns a position in a store that does not report its era.
+func at(revision uint64) Position { return Position{Revision: revision} }
+
 func newServers(ids ...string) []Server {
 	servers := make([]Server, 0, len(ids))
 	for i, id := range ids {
@@ -28,8 +31,8 @@
 func TestSingleRemovalTakesEffectAtOnce(t *testing.T) {
 	c := qt.New(t)
 	l := New()
-	l.Replace(newServers("a", "b", "c"), 10, testStart)
-	l.Apply(newRemovals("b"), 50, testStart)
+	l.Replace(newServers("a", "b", "c"), at(10), testStart)
+	l.Apply(newRemovals("b"), at(50), testStart)
 	c.Assert(l.GetAll(), qt.HasLen, 2)
 }
 
@@ -39,10 +42,10 @@
 func TestLapsedEntriesAreKeptForGracePeriod(t *testing.T) {
 	c := qt.New(t)
 	l := New()
-	l.Replace(newServers("a", "b", "c"), 10, testStart)
-	l.Apply(newRemovals("a", "b", "c"), 50, testStart)
+	l.Replace(newServers("a", "b", "c"), at(10), testStart)
+	l.Apply(newRemovals("a", "b", "c"), at(50), testStart)
 	c.Assert(l.GetAll(), qt.HasLen, 3)
-	l.Apply([]Change{{Server: Server{ID: "a", Revision: 51}}, {Server: Server{ID: "b", Revision: 52}}}, 52, testStart.Add(time.Second))
+	l.Apply([]Change{{Server: Server{ID: "a", Revision: 51}}, {Server: Server{ID: "b", Revision: 52}}}, at(52), testStart.Add(time.Second))
 	l.Expire(testStart.Add(lapseGrace - time.Millisecond))
 	c.Assert(l.GetAll(), qt.HasLen, 3)
 	l.Expire(testStart.Add(lapseGrace))
@@ -54,8 +57,8 @@
 	l := New()
 	all := newServers("a", "b")
 	all[0].Leaving = true
-	l.Replace(all, 10, testStart)
-	l.Apply(newRemovals("a", "b"), 50, testStart)
+	l.Replace(all, at(10), testStart)
+	l.Apply(newRemovals("a", "b"), at(50), testStart)
 	got := l.GetAll()
 	c.Assert(got, qt.HasLen, 1)
 	c.Assert(got[0].ID, qt.Equals, "b")
@@ -64,21 +67,21 @@
 func TestOlderRevisionIsIgnored(t *testing.T) {
 	c := qt.New(t)
 	l := New()
-	l.Replace(newServers("a", "b", "c"), 10, testStart)
-	l.Replace(newServers("a"), 9, testStart)
-	l.Apply(newRemovals("a"), 9, testStart)
+	l.Replace(newServers("a", "b", "c"), at(10), testStart)
+	l.Replace(newServers("a"), at(9), testStart)
+	l.Apply(newRemovals("a"), at(9), testStart)
 	c.Assert(l.GetAll(), qt.HasLen, 3)
-	l.Merge(newServers("a"), 3, testStart)
+	l.Merge(newServers("a"), at(3), testStart)
 	c.Assert(l.GetAll(), qt.HasLen, 3)
-	l.Merge(newServers("a", "b"), 60, testStart)
+	l.Merge(newServers("a", "b"), at(60), testStart)
 	c.Assert(l.GetAll(), qt.HasLen, 2)
-	c.Assert(l.GetChangeRevision(), qt.Equals, uint64(60))
+	c.Assert(l.GetLastChange(), qt.Equals, at(60))
 }
 
 func TestServerRemovedAndAddedInOneBatchStays(t *testing.T) {
 	c := qt.New(t)
 	l := New()
-	l.Replace(newServers("a", "b", "c"), 10, testStart)
-	l.Apply(append(newRemovals("a"), Change{Server: Server{ID: "a", Revision: 51}}), 51, testStart)
+	l.Replace(newServers("a", "b", "c"), at(10), testStart)
+	l.Apply(append(newRemovals("a"), Change{Server: Server{ID: "a", Revision: 51}}), at(51), testStart)
 	c.Assert(l.GetAll(), qt.HasLen, 3)
 }
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -20,17 +20,25 @@
 // whole table has to be read again.
 var ErrHistoryLost = errors.New("history is no longer available")
 
-// Source reads the followed tables of the store. Revisions grow with each change.
+// ErrEraDecreased says that the store reported an era below one that it reported before.
+var ErrEraDecreased = errors.New("the store's era has decreased")
+
+// errRestored says that the store has been restored from an older copy, so the whole table
+// has to be read again.
+var errRestored = errors.New("store was restored from an older copy")
+
+// Source reads the followed tables of the store. The era of a position is 0 if the store
+// does not report it.
 type Source interface {
 	// GetCatalog returns the catalog, nil if there is none yet.
-	GetCatalog(ctx context.Context) (*holder.Catalog, uint64, error)
+	GetCatalog(ctx context.Context) (*holder.Catalog, lister.Position, error)
 	// WatchCatalog waits for a change after a revision; the catalog is nil if there was
 	// none. It returns ErrHistoryLost if the changes are no longer available.
-	WatchCatalog(ctx context.Context, after uint64, wait time.Duration) (*holder.Catalog, uint64, error)
-	GetServers(ctx context.Context) ([]lister.Server, uint64, error)
+	WatchCatalog(ctx context.Context, after uint64, wait time.Duration) (*holder.Catalog, lister.Position, error)
+	GetServers(ctx context.Context) ([]lister.Server, lister.Position, error)
 	// WatchServers waits for changes after a revision. It returns ErrHistoryLost if they
 	// are no longer available.
-	WatchServers(ctx context.Context, after uint64, wait time.Duration) ([]lister.Change, uint64, error)
+	WatchServers(ctx context.Context, after uint64, wait time.Duration) ([]lister.Change, lister.Position, error)
 }
 
 // Timeouts and intervals of the calls.
@@ -71,6 +79,7 @@
 	servers *lister.Lister
 	// gateways is the number of gateways that send changes to each other.
 	gateways atomic.Int64
+	era      era
 }
 
 // SetGateways sets the number of gateways that send changes to each other, this one
@@ -100,57 +109,63 @@
 
 // New returns a Watcher that keeps catalog and servers up to date.
 func New(source Source, catalog *holder.Holder, servers *lister.Lister) *Watcher {
-	return &Watcher{source: source, catalog: catalog, servers: servers}
+	w := &Watcher{source: source, catalog: catalog, servers: servers}
+	// Another gateway may be the first to read the restored store.
+	servers.OnEra(w.era.raise)
+	return w
 }
 
 // RunCatalog keeps the catalog up to date until ctx ends.
 func (w *Watcher) RunCatalog(ctx context.Context) {
-	f := follower{Watcher: w, table: "catalog", readAll: w.readCatalog, watch: w.watchCatalog}
+	// stored is the version in the store, which after a restoration may be below that in force.
+	stored := uint64(0)
+	apply := func(c *holder.Catalog, isWhole bool) {
+		if isWhole {
+			stored = 0
+		}
+		if c != nil {
+			stored = c.Version
+		}
+		w.catalog.ApplyIfNewer(c, "store")
+		if stored >= w.catalog.GetVersion() {
+			w.catalog.Confirm(time.Now())
+		}
+	}
+	f := follower{
+		Watcher: w, table: "catalog",
+		readAll: func(ctx context.Context) (update, error) {
+			c, at, err := w.source.GetCatalog(ctx)
+			return update{at, func(lister.Position) { apply(c, true) }}, err
+		},
+		watch: func(ctx context.Context, after uint64, wait time.Duration) (update, error) {
+			c, at, err := w.source.WatchCatalog(ctx, after, wait)
+			return update{at, func(lister.Position) { apply(c, false) }}, err
+		},
+	}
 	f.run(ctx)
 }
 
 // RunServers keeps the list of backend servers up to date until ctx ends.
 func (w *Watcher) RunServers(ctx context.Context) {
-	f := follower{Watcher: w, table: "servers", readAll: w.readServers, watch: w.watchServers}
-	f.run(ctx)
-}
-
-func (w *Watcher) readCatalog(ctx context.Context) (uint64, error) {
-	c, revision, err := w.source.GetCatalog(ctx)
-	if err != nil {
-		return 0, err
-	}
-	w.catalog.ApplyIfNewer(c, "store")
-	w.catalog.Confirm(time.Now())
-	return revision, nil
-}
-
-func (w *Watcher) watchCatalog(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
-	c, revision, err := w.source.WatchCatalog(ctx, after, wait)
-	if err != nil {
-		return 0, err
-	}
-	w.catalog.ApplyIfNewer(c, "store")
-	w.catalog.Confirm(time.Now())
-	return revision, nil
-}
-
-func (w *Watcher) readServers(ctx context.Context) (uint64, error) {
-	all, revision, err := w.source.GetServers(ctx)
-	if err != nil {
-		return 0, err
+	f := follower{
+		Watcher: w, table: "servers",
+		readAll: func(ctx context.Context) (update, error) {
+			all, at, err := w.source.GetServers(ctx)
+			return update{at, func(at lister.Position) { w.servers.Replace(all, at, time.Now()) }}, err
+		},
+		watch: func(ctx context.Context, after uint64, wait time.Duration) (update, error) {
+			changes, at, err := w.source.WatchServers(ctx, after, wait)
+			return update{at, func(at lister.Position) { w.servers.Apply(changes, at, time.Now()) }}, err
+		},
 	}
-	w.servers.Replace(all, revision, time.Now())
-	return revision, nil
+	f.run(ctx)
 }
 
-func (w *Watcher) watchServers(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
-	changes, revision, err := w.source.WatchServers(ctx, after, wait)
-	if err != nil {
-		return 0, err
-	}
-	w.servers.Apply(changes, revision, time.Now())
-	return revision, nil
+// update is a response of the store.
+type update struct {
+	at lister.Position
+	// apply puts it in force, at a position whose era is known.
+	apply func(at lister.Position)
 }
 
 // follower reads one table of the store whole and then follows its changes.
@@ -158,14 +173,14 @@
 	// Watcher holds the intervals and timeouts.
 	*Watcher
 	table   string
-	readAll func(ctx context.Context) (uint64, error)
-	watch   func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
-	// unavailable is whether the latest call failed, ErrHistoryLost aside.
+	readAll func(ctx context.Context) (update, error)
+	watch   func(ctx context.Context, after uint64, wait time.Duration) (update, error)
+	// unavailable is whether the latest call failed, ErrHistoryLost and errRestored aside.
 	unavailable bool
-	// loaded is whether the table was read whole; after is the revision up to which its
+	// loaded is whether the table was read whole; after is the position up to which its
 	// changes are applied.
 	loaded bool
-	after  uint64
+	after  lister.Position
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -182,8 +197,8 @@
 			sleeper.Sleep(ctx, f.nextBatchInterval())
 			continue
 		}
-		if errors.Is(err, ErrHistoryLost) {
-			log.Info("store history no longer available, reading table again", "event", "history_lost", "table", f.table, "after", f.after)
+		if errors.Is(err, ErrHistoryLost) || errors.Is(err, errRestored) {
+			log.Info("reading table again", "event", "history_lost", "table", f.table, "after", f.after.Revision, "era", f.after.Era, "error", err)
 			f.loaded = false
 			continue
 		}
@@ -194,28 +209,50 @@
 }
 
 func (f *follower) readNext(ctx context.Context) error {
-	if !f.loaded {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		revision, err := f.readAll(ctx)
-		if err == nil {
-			f.after, f.loaded = revision, true
-		}
-		return err
-	}
+	timeout, wait := readTimeout, time.Duration(0)
 	// After a failure the first call does not wait, so that the store's recovery is
 	// noticed at once and changes made during the outage do not count as new ones.
-	wait := f.currentWatchWait()
-	if f.unavailable {
-		wait = 0
+	if f.loaded && !f.unavailable {
+		wait = f.currentWatchWait()
+		timeout += wait
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	revision, err := f.watch(ctx, f.after, wait)
-	if err == nil {
-		f.after = revision
+	known, end := f.era.begin(cancel)
+	defer end()
+	if f.loaded && f.after.Era < known {
+		return errRestored
+	}
+	u, err := f.read(ctx, wait)
+	isEraOver := f.era.get() > known
+	switch {
+	case err != nil && isEraOver:
+		return errRestored
+	case err != nil:
+		return err
+	case u.at.Era == 0:
+		// The store reports no era.
+		u.at.Era = known
+	case u.at.Era < known:
+		log.Error("era of the store has decreased, response ignored", "event", "store_era", "table", f.table, "known", known, "reported", u.at.Era)
+		return ErrEraDecreased
+	}
+	f.era.raise(u.at.Era)
+	if f.loaded && u.at.Era > f.after.Era || isEraOver && u.at.Era == known {
+		// Changes before the restoration may be missing from the response.
+		return errRestored
+	}
+	u.apply(u.at)
+	f.after, f.loaded = u.at, true
+	return nil
+}
+
+// read reads the whole table, or its changes once it is loaded.
+func (f *follower) read(ctx context.Context, wait time.Duration) (update, error) {
+	if !f.loaded {
+		return f.readAll(ctx)
 	}
-	return err
+	return f.watch(ctx, f.after.Revision, wait)
 }
 
 func (f *follower) setUnavailable(unavailable bool, err error) {
@@ -227,5 +264,5 @@
 		log.Warn("store unavailable", "event", "store_lost", "table", f.table, "error", err)
 		return
 	}
-	log.Info("store available again", "event", "store_regained", "table", f.table, "after", f.after)
+	log.Info("store available again", "event", "store_regained", "table", f.table, "after", f.after.Revision, "era", f.after.Era)
 }
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -21,28 +21,30 @@
 
 func (s *flakyStore) catalog() *holder.Catalog { return &holder.Catalog{Version: s.version.Load()} }
 
-func (s *flakyStore) GetCatalog(context.Context) (*holder.Catalog, uint64, error) {
+func (s *flakyStore) GetCatalog(context.Context) (*holder.Catalog, lister.Position, error) {
 	if s.calls.Add(1)%3 == 0 {
-		return nil, 0, context.DeadlineExceeded
+		return nil, lister.Position{}, context.DeadlineExceeded
 	}
-	return s.catalog(), s.version.Load(), nil
+	return s.catalog(), lister.Position{Revision: s.version.Load()}, nil
 }
 
-func (s *flakyStore) WatchCatalog(_ context.Context, after uint64, _ time.Duration) (*holder.Catalog, uint64, error) {
+func (s *flakyStore) WatchCatalog(_ context.Context, after uint64, _ time.Duration) (*holder.Catalog, lister.Position, error) {
 	switch s.calls.Add(1) % 4 {
 	case 0:
-		return nil, 0, context.DeadlineExceeded
+		return nil, lister.Position{}, context.DeadlineExceeded
 	case 1:
-		return nil, 0, ErrHistoryLost
+		return nil, lister.Position{}, ErrHistoryLost
 	}
-	return s.catalog(), s.version.Add(1), nil
+	return s.catalog(), lister.Position{Revision: s.version.Add(1)}, nil
 }
 
-func (s *flakyStore) GetServers(context.Context) ([]lister.Server, uint64, error) { return nil, 1, nil }
+func (s *flakyStore) GetServers(context.Context) ([]lister.Server, lister.Position, error) {
+	return nil, lister.Position{Revision: 1}, nil
+}
 
-func (s *flakyStore) WatchServers(ctx context.Context, _ uint64, _ time.Duration) ([]lister.Change, uint64, error) {
+func (s *flakyStore) WatchServers(ctx context.Context, _ uint64, _ time.Duration) ([]lister.Change, lister.Position, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, lister.Position{}, ctx.Err()
 }
 
 // TestCatalogVersionsIncreaseDespiteFailuresAndLostHistory guards against a catalog that
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -209,7 +209,7 @@
 
 // isReady reports whether the gateway can take new callers.
 func (g *Gateway) isReady() bool {
-	return !g.stopping.Load() && g.catalog.Get() != nil && g.servers.GetRevision() > 0 && g.quarantine.IsComplete()
+	return !g.stopping.Load() && g.catalog.Get() != nil && g.servers.GetPosition() != (lister.Position{}) && g.quarantine.IsComplete()
 }
 
 func (g *Gateway) adminHandler() http.Handler {
