Connector: a call does not wait past its deadline for another call's dial

Cause: the session to a peer was guarded by a mutex that is held while the peer is dialed. A second call to a silent peer waited for that mutex, which knows no deadline.

Change: the link is a channel of one value; a call waits for it or for its context.

--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -133,9 +133,11 @@
 	closed bool
 }
 
-// link holds the session to one address. mu is held while the peer is dialed.
+// link holds the session to one address.
 type link struct {
-	mu sync.Mutex
+	// lock holds a value while the link is in use, also while the peer is dialed. Callers
+	// wait for it no longer than their context allows.
+	lock chan struct{}
 	// session is nil until a dial succeeds.
 	session *dialedSession
 	// isRemoved is true once the pool no longer holds the link. It is not dialed then,
@@ -143,6 +145,10 @@
 	isRemoved bool
 }
 
+func newLink() *link { return &link{lock: make(chan struct{}, 1)} }
+
+func (l *link) unlock() { <-l.lock }
+
 // errLinkRemoved says that the caller must get the link from the pool again.
 var errLinkRemoved = errors.New("link removed")
 
@@ -159,7 +165,7 @@
 	lastUsed time.Time
 }
 
-// acquire counts a stream that is about to be opened. The caller holds the link's mu,
+// acquire counts a stream that is about to be opened. The caller holds the link's lock,
 // so that the session is not closed as idle in between.
 func (s *dialedSession) acquire() { s.countStream(1) }
 
@@ -247,8 +253,8 @@
 	if l == nil {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.lock <- struct{}{}
+	defer l.unlock()
 	l.isRemoved = true
 	if l.session != nil {
 		_ = l.session.Close()
@@ -271,10 +277,12 @@
 // closeIdle closes the session if it is idle, and reports whether the link is to be
 // removed. A link without a session is removed unless it is being dialed.
 func (l *link) closeIdle(minIdle time.Duration) bool {
-	if !l.mu.TryLock() {
+	select {
+	case l.lock <- struct{}{}:
+	default:
 		return false
 	}
-	defer l.mu.Unlock()
+	defer l.unlock()
 	if l.session == nil {
 		l.isRemoved = true
 		return true
@@ -309,7 +317,7 @@
 	}
 	l := p.links[addr]
 	if l == nil {
-		l = &link{}
+		l = newLink()
 		p.links[addr] = l
 	}
 	return l, nil
@@ -323,16 +331,20 @@
 		if err != nil {
 			return nil, err
 		}
-		session, err := l.acquireSession(func() (*dialedSession, error) { return p.connect(ctx, addr) })
+		session, err := l.acquireSession(ctx, func() (*dialedSession, error) { return p.connect(ctx, addr) })
 		if !errors.Is(err, errLinkRemoved) {
 			return session, err
 		}
 	}
 }
 
-func (l *link) acquireSession(connect func() (*dialedSession, error)) (*dialedSession, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (l *link) acquireSession(ctx context.Context, connect func() (*dialedSession, error)) (*dialedSession, error) {
+	select {
+	case l.lock <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer l.unlock()
 	if l.isRemoved {
 		return nil, errLinkRemoved
 	}
