Commander: versions of leaders with rank 128 and above are their own

Cause: versions had 7 bits for the leader's rank, so rank 128 in one millisecond drew from the same numbers as rank 0 in the next. Two leaders could use one version for two maps, against which rule 1 of the protocol guards ("no version is used for two maps"). Groups have 129 ranks now and 600 in two years.

Change: 10 bits. Versions stay below 2^53 until 2034.

Evidence: TestVersionsOfManyRanksDiffer on the code before: "version of ranks 128 and 0".

--- a/internal/group/commander/version.go
+++ b/internal/group/commander/version.go
@@ -6,9 +6,10 @@
 
 // The bits of a version below the time in milliseconds are the leader's rank, then random
 // bits, so that neither two leaders nor two runs of one leader use a version twice.
-// Versions stay small enough to be exact as JSON numbers.
+// Versions stay small enough to be exact as JSON numbers, until 2034 with 15 bits.
 const (
-	rankBits   = 7
+	// rankBits is enough for 1,024 ranks.
+	rankBits   = 10
 	randomBits = 5
 )
 
