Group: the messages of a map change pass the leader's link in time

- The first change had no base that the ranks knew (map 0 was never sent to them), so each got the whole map, 20 KB: 3.5 s of the link, more than all time-outs, after which the whole map went to the engines as JSON.
- Counts were sent in full, 8 to 10 KB a rank and sample, a third of a second of the link for 24 ranks.
Differences from the counts that the reader has take a byte a number.
- An order to 128 ranks at once had 36 ms at the sidecars; all of them timed out and were repeated at the engines.
- Preparing took 0.9 s, as each rank got the same 5 KB from the leader.
A sidecar that has not got it is sent the changes, then the whole map, as before.

--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -372,7 +372,7 @@
 		return true
 	}
 	if version == 0 {
-		b.placement, b.knownVersion = initialPlacement(engine, len(g)), 0
+		b.placement, b.knownVersion = shifter.Initial(engine.LayerSets, engine.Experts, len(g)), 0
 		return true
 	}
 	p := make(shifter.Placement, engine.LayerSets)
@@ -390,16 +390,3 @@
 	b.placement, b.knownVersion = p, version
 	return true
 }
-
-// initialPlacement returns the map of a group that has just begun: the experts are placed
-// round-robin.
-func initialPlacement(engine *holder.Engine, ranks int) shifter.Placement {
-	p := make(shifter.Placement, engine.LayerSets)
-	for i := range p {
-		p[i] = make([][]int, ranks)
-		for e := range engine.Experts {
-			p[i][e%ranks] = append(p[i][e%ranks], e)
-		}
-	}
-	return p
-}
--- a/internal/group/balancer/balancer_test.go
+++ b/internal/group/balancer/balancer_test.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// Announce implements commander.Transport.
+func (*fakeGroup) Announce(context.Context, []netip.AddrPort, commander.Prepare, uint64) {}
+
 func (g *fakeGroup) Send(_ context.Context, engine netip.AddrPort, d commander.Directive) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/group/commander/change.go
+++ b/internal/group/commander/change.go
@@ -49,6 +49,7 @@
 	}
 	p := newProgress(g)
 	p[0].sent = true
+	c.transport.Announce(ctx, g.addrs(), order, g.Epoch())
 	if !pending {
 		c.sendAll(ctx, g, p, Directive{Order: order, Epoch: g.Epoch()})
 	}
@@ -96,7 +97,7 @@
 			unready = append(unready, s)
 		}
 	}
-	for i, s := range c.readAll(ctx, unready, Query{LeaderRank: g.First().Rank}) {
+	for i, s := range c.readAll(ctx, unready, Query{LeaderRank: g.First().Rank, KnownVersion: g.First().Version}) {
 		ready, resend, err := checkPrepared(g, unready[i].Rank, s, order)
 		if err != nil {
 			return err
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -146,18 +146,24 @@
 // order may or may not have been carried out, or may be carried out later.
 type Transport interface {
 	Read(ctx context.Context, engine netip.AddrPort, q Query) (*Status, error)
+	// Announce sends a map to engines that will be sent the order to prepare it, so that
+	// the order is small. It may fail for some of them.
+	Announce(ctx context.Context, engines []netip.AddrPort, p Prepare, epoch uint64)
 	Send(ctx context.Context, engine netip.AddrPort, d Directive) error
 }
 
 // Limits of a change.
 const (
-	// orderTimeout bounds one attempt of an order; an engine answers in about 2 ms.
-	orderTimeout = 60 * time.Millisecond
+	// orderTimeout bounds one attempt of an order; an engine answers in about 2 ms. In a large
+	// group it is orderTimeoutPerRank for each rank: the leader sends an order to all ranks
+	// at once, and has a quarter of a core and a link of some megabits a second.
+	orderTimeout        = 60 * time.Millisecond
+	orderTimeoutPerRank = 2 * time.Millisecond
 	// readTimeout bounds one read of an engine.
 	readTimeout = 250 * time.Millisecond
 	// readTimeoutPerRank is added for each rank when counts are read: those of 2,000
-	// experts are 5 KB, and a sidecar's link has 8 Mbit/s.
-	readTimeoutPerRank = 10 * time.Millisecond
+	// experts are 5 KB, those of 4,000 experts 10 KB, and a sidecar's link has 6 to 8 Mbit/s.
+	readTimeoutPerRank = 25 * time.Millisecond
 	// prepareTimeoutPerRank is added for each rank to an attempt to send a map of some
 	// 10 KB.
 	prepareTimeoutPerRank = 20 * time.Millisecond
--- a/internal/group/commander/fake_test.go
+++ b/internal/group/commander/fake_test.go
@@ -203,6 +203,9 @@
 
 var errNoAnswer = errors.New("no answer")
 
+// Announce implements Transport.
+func (*fakeGroup) Announce(context.Context, []netip.AddrPort, Prepare, uint64) {}
+
 // Send implements Transport.
 func (g *fakeGroup) Send(ctx context.Context, engine netip.AddrPort, d Directive) error {
 	rank := int(engine.Addr().As4()[3]) - 1
--- a/internal/group/commander/group.go
+++ b/internal/group/commander/group.go
@@ -1,5 +1,7 @@
 package commander
 
+import "net/netip"
+
 // Group is a snapshot of all ranks of a group, indexed by rank, all of one epoch.
 type Group []*Status
 
@@ -9,6 +11,14 @@
 // Epoch returns the epoch of all ranks.
 func (g Group) Epoch() uint64 { return g[0].Epoch }
 
+func (g Group) addrs() []netip.AddrPort {
+	addrs := make([]netip.AddrPort, len(g))
+	for i, s := range g {
+		addrs[i] = s.Addr
+	}
+	return addrs
+}
+
 // Step returns the latest pass that any rank has begun.
 func (g Group) Step() uint64 {
 	step := uint64(0)
--- a/internal/group/commander/order.go
+++ b/internal/group/commander/order.go
@@ -54,7 +54,7 @@
 }
 
 func (c *Commander) send(ctx context.Context, s *Status, d Directive) error {
-	timeout := orderTimeout
+	timeout := max(orderTimeout, time.Duration(s.Size)*orderTimeoutPerRank)
 	if p, ok := d.Order.(Prepare); ok && len(p.Placement) > 0 {
 		timeout += time.Duration(len(p.Placement[0])) * prepareTimeoutPerRank
 	}
@@ -85,11 +85,7 @@
 
 // readAll reads all ranks concurrently; the entries of those that do not answer are nil.
 func (c *Commander) readAll(ctx context.Context, g Group, q Query) []*Status {
-	addrs := make([]netip.AddrPort, len(g))
-	for i, s := range g {
-		addrs[i] = s.Addr
-	}
-	return c.ReadAll(ctx, addrs, q)
+	return c.ReadAll(ctx, g.addrs(), q)
 }
 
 // ReadAll reads engines concurrently. The result is in the order of addrs; the entries of
--- a/internal/group/messenger/codec.go
+++ b/internal/group/messenger/codec.go
@@ -114,6 +114,9 @@
 				return nil, wrapper.At("encode_order", "", err)
 			}
 			out.BaseVersion, out.Changes, out.Digest = o.BaseVersion, changes, mapDigest(o.Placement)
+			if o.BaseVersion == 0 {
+				out.LayerSets, out.Ranks, out.Experts = uint32(len(o.Base)), uint32(len(o.Base[0])), uint32(countExperts(o.Base[0]))
+			}
 			break
 		}
 		for _, ranks := range o.Placement {
--- a/internal/group/messenger/messenger.go
+++ b/internal/group/messenger/messenger.go
@@ -23,6 +23,14 @@
 	Send(ctx context.Context, d commander.Directive) error
 }
 
+// Caller calls other sidecars; *connector.Pool is one.
+type Caller interface {
+	// Call sends the first frame of a stream and reads one message into m.
+	Call(ctx context.Context, addr netip.AddrPort, open *encoder.Open, m connector.Message) error
+	// Drop closes the session to a sidecar.
+	Drop(addr netip.AddrPort)
+}
+
 // sidecarTimeShare is the share of a call's time for the sidecar; the rest is for the
 // engine itself, should its sidecar not answer.
 const sidecarTimeShare = 0.6
@@ -31,25 +39,29 @@
 type Messenger struct {
 	own         netip.AddrPort
 	sidecarPort uint16
-	pool        *connector.Pool
+	sidecars    Caller
 	engine      Engine
 	// newEngine returns a client of another instance's engine.
 	newEngine func(netip.AddrPort) Engine
 	mu        sync.Mutex
 	// remoteEngines holds the clients of other instances' engines by address.
 	remoteEngines map[netip.AddrPort]Engine
-	// lastPrepare is the latest encoded order to prepare a map whose base is known.
-	lastPrepare *encoder.EngineOrder
+	// lastPrepare is the latest encoded order to prepare a map whose base is known, and
+	// announced the one to prepare the map that was announced last.
+	lastPrepare, announced *encoder.EngineOrder
 	// received holds the maps that this sidecar has received.
 	received *placementCache
+	// sentCounts and receivedCounts are those of the own engine and of others.
+	sentCounts     sentCounts
+	receivedCounts *receivedCounts
 }
 
 // New returns a Messenger of the sidecar beside the engine at own; port is the port of the
 // other sidecars.
-func New(own netip.AddrPort, port uint16, pool *connector.Pool, newEngine func(netip.AddrPort) Engine) *Messenger {
+func New(own netip.AddrPort, port uint16, sidecars Caller, newEngine func(netip.AddrPort) Engine) *Messenger {
 	return &Messenger{
-		own: own, sidecarPort: port, pool: pool, engine: newEngine(own), newEngine: newEngine, remoteEngines: make(map[netip.AddrPort]Engine),
-		received: newPlacementCache(),
+		own: own, sidecarPort: port, sidecars: sidecars, engine: newEngine(own), newEngine: newEngine, remoteEngines: make(map[netip.AddrPort]Engine),
+		received: newPlacementCache(), receivedCounts: newReceivedCounts(),
 	}
 }
 
@@ -86,10 +98,13 @@
 	sidecarCtx, cancel := withSidecarTimeout(ctx)
 	defer cancel()
 	state := &encoder.EngineState{}
-	err := m.pool.Call(sidecarCtx, m.sidecar(engine), &encoder.Open{Kind: &encoder.Open_EngineQuery{EngineQuery: &encoder.EngineQuery{
-		LeaderRank: uint32(q.LeaderRank), WithCounts: q.WithCounts, KnownVersion: q.KnownVersion,
-	}}}, state)
+	query := &encoder.EngineQuery{LeaderRank: uint32(q.LeaderRank), WithCounts: q.WithCounts, KnownVersion: q.KnownVersion}
+	if q.WithCounts {
+		query.KnownCounts = m.receivedCounts.getID(engine)
+	}
+	err := m.sidecars.Call(sidecarCtx, m.sidecar(engine), &encoder.Open{Kind: &encoder.Open_EngineQuery{EngineQuery: query}}, state)
 	if err == nil && state.GetAddress() != "" {
+		m.receivedCounts.decode(engine, state)
 		return decodeStatus(state)
 	}
 	m.dropOnTimeout(engine, err)
@@ -101,7 +116,7 @@
 func (m *Messenger) dropOnTimeout(engine netip.AddrPort, err error) {
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
-		m.pool.Drop(m.sidecar(engine))
+		m.sidecars.Drop(m.sidecar(engine))
 	}
 }
 
@@ -114,11 +129,16 @@
 	}
 	sidecarCtx, cancel := withSidecarTimeout(ctx)
 	defer cancel()
-	result, err := m.sendOrder(sidecarCtx, engine, d)
+	result, err := &encoder.EngineResult{NeedsWhole: true}, error(nil)
+	if announced := m.getAnnounced(d); announced != nil {
+		result, err = m.callOrder(sidecarCtx, engine, announced)
+	}
+	if err == nil && result.GetNeedsWhole() {
+		result, err = m.sendOrder(sidecarCtx, engine, d)
+	}
 	if p, ok := d.Order.(commander.Prepare); ok && err == nil && result.GetNeedsWhole() {
 		p.Base = nil
-		d.Order = p
-		result, err = m.sendOrder(sidecarCtx, engine, d)
+		result, err = m.sendOrder(sidecarCtx, engine, commander.Directive{Order: p, Epoch: d.Epoch, Sequence: d.Sequence})
 	}
 	if err != nil {
 		m.dropOnTimeout(engine, err)
@@ -139,9 +159,13 @@
 	if err != nil {
 		return nil, err
 	}
+	return m.callOrder(ctx, engine, body)
+}
+
+func (m *Messenger) callOrder(ctx context.Context, engine netip.AddrPort, body *encoder.EngineOrder) (*encoder.EngineResult, error) {
 	result := &encoder.EngineResult{}
 	open := &encoder.Open{Kind: &encoder.Open_EngineOrder{EngineOrder: body}}
-	return result, m.pool.Call(ctx, m.sidecar(engine), open, result)
+	return result, m.sidecars.Call(ctx, m.sidecar(engine), open, result)
 }
 
 // encode encodes an order. All ranks are sent the same map, so the encoding of a map whose
@@ -165,6 +189,15 @@
 
 // Serve answers a query or an order of another sidecar for this instance's engine.
 func (m *Messenger) Serve(ctx context.Context, open *encoder.Open, s *connector.Stream) error {
+	answer, err := m.Answer(ctx, open)
+	if err != nil {
+		return err
+	}
+	return s.Send(answer)
+}
+
+// Answer returns the answer to a query or an order of another sidecar.
+func (m *Messenger) Answer(ctx context.Context, open *encoder.Open) (connector.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
 	switch kind := open.GetKind().(type) {
@@ -174,24 +207,32 @@
 			KnownVersion: kind.EngineQuery.GetKnownVersion(),
 		}, true)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		return s.Send(encodeStatus(status))
+		state := encodeStatus(status)
+		m.sentCounts.encode(state, kind.EngineQuery.GetKnownCounts())
+		return state, nil
 	case *encoder.Open_EngineOrder:
+		if kind.EngineOrder.GetKeepOnly() {
+			return newResult(m.keep(ctx, kind.EngineOrder)), nil
+		}
 		d, err := decodeOrder(kind.EngineOrder, m.received)
 		if errors.Is(err, errNeedsFullMap) {
-			return s.Send(&encoder.EngineResult{NeedsWhole: true})
+			return &encoder.EngineResult{NeedsWhole: true}, nil
 		}
 		if err != nil {
-			return err
+			return nil, err
 		}
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		return s.Send(newResult(m.engine.Send(ctx, d)))
+		return newResult(m.engine.Send(ctx, d)), nil
 	}
-	return nil
+	return nil, errUnknownFrame
 }
 
+// errUnknownFrame says that the first frame of a stream is neither a query nor an order.
+var errUnknownFrame = errors.New("neither a query nor an order")
+
 // serveTimeout bounds the work on a query, whose caller usually times out earlier, or on an
 // order, which orderTimeout bounds as well.
 const serveTimeout = time.Second
--- a/internal/group/messenger/placement.go
+++ b/internal/group/messenger/placement.go
@@ -22,7 +22,7 @@
 // Ranks are sent only those, as changes to the map that they had before.
 
 // maxCachedPlacements bounds the maps that a sidecar keeps: the one in force, the one
-// prepared, and one that another leader prepared.
+// prepared or sent ahead, and one that another leader prepared.
 const maxCachedPlacements = 3
 
 // errNeedsFullMap says that a map was sent as changes that don't fit a known base.
@@ -71,9 +71,16 @@
 		return p, nil
 	}
 	base := received.get(m.GetBaseVersion())
+	if base == nil && m.GetBaseVersion() == 0 {
+		base = decodeInitial(m)
+	}
 	if base == nil {
 		return nil, errNeedsFullMap
 	}
+	if m.GetBaseVersion() == m.GetVersion() && mapDigest(base) == m.GetDigest() {
+		// The map was sent ahead.
+		return base, nil
+	}
 	p, err := patch(base, m.GetChanges())
 	if err != nil {
 		log.Warn("invalid changes of a map, full map requested", "event", "bad_news", "version", m.GetVersion(), "base", m.GetBaseVersion(), "error", err)
@@ -85,6 +92,27 @@
 	return p, nil
 }
 
+// maxShape bounds the layer sets, the ranks and the experts of a group.
+const maxShape = 1 << 12
+
+// decodeInitial returns the initial map of the shape in an order, nil if there is none.
+func decodeInitial(m *encoder.EngineOrder) shifter.Placement {
+	sets, ranks, experts := m.GetLayerSets(), m.GetRanks(), m.GetExperts()
+	if min(sets, ranks, experts) == 0 || max(sets, ranks, experts) > maxShape {
+		return nil
+	}
+	return shifter.Initial(int(sets), int(experts), int(ranks))
+}
+
+// countExperts returns the number of experts in one layer set of an initial map.
+func countExperts(ranks [][]int) int {
+	n := 0
+	for _, list := range ranks {
+		n += len(list)
+	}
+	return n
+}
+
 // diff encodes the differences between two maps of the same shape.
 func diff(from, to shifter.Placement) ([]byte, error) {
 	var encoded []byte
--- a/internal/group/shifter/shifter.go
+++ b/internal/group/shifter/shifter.go
@@ -12,6 +12,19 @@
 // one rank.
 type Placement [][][]int
 
+// Initial returns the placement of a group that has just begun: the experts are placed
+// round-robin.
+func Initial(layerSets, experts, ranks int) Placement {
+	p := make(Placement, layerSets)
+	for s := range p {
+		p[s] = make([][]int, ranks)
+		for e := range experts {
+			p[s][e%ranks] = append(p[s][e%ranks], e)
+		}
+	}
+	return p
+}
+
 // Clone returns a deep copy.
 func (p Placement) Clone() Placement {
 	out := make(Placement, len(p))
