Group: a sidecar that does not answer is not asked each time

Cause: each read, order and map waited for that sidecar, up to 1.6 s for a map, before the engine was called.

Change: after a time-out its engine is called at once for 2 s, then for up to 16 s if it stays silent. At most 12 sidecars are treated so: when more do not answer, the own link is full, and whole maps sent to engines would fill it.

--- a/internal/group/balancer/slow_link_test.go
+++ b/internal/group/balancer/slow_link_test.go
@@ -412,3 +412,22 @@
 		wg.Wait()
 	})
 }
+
+// TestMapOfManyRanksFollowsDemandBesideSilentSidecar guards against a map that waits for one
+// sidecar that does not answer, whose engine does.
+func TestMapOfManyRanksFollowsDemandBesideSilentSidecar(t *testing.T) {
+	for name, rank := range map[string]int{"read in each round": 6, "passes maps on": 7, "neither": 100} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				s := startManySidecars(ctx, &wg)
+				s.setSilent(rank)
+				s.followDemand(c)
+				cancel()
+				wg.Wait()
+			})
+		})
+	}
+}
--- a/internal/group/messenger/messenger.go
+++ b/internal/group/messenger/messenger.go
@@ -54,6 +54,8 @@
 	// sentCounts and receivedCounts are those of the own engine and of others.
 	sentCounts     sentCounts
 	receivedCounts *receivedCounts
+	// silent holds the sidecars whose engines are called instead.
+	silent *silentSidecars
 }
 
 // New returns a Messenger of the sidecar beside the engine at own; port is the port of the
@@ -62,6 +64,7 @@
 	return &Messenger{
 		own: own, sidecarPort: port, sidecars: sidecars, engine: newEngine(own), newEngine: newEngine, remoteEngines: make(map[netip.AddrPort]Engine),
 		received: newPlacementCache(), receivedCounts: newReceivedCounts(),
+		silent: newSilentSidecars(),
 	}
 }
 
@@ -95,6 +98,9 @@
 	if engine == m.own {
 		return m.engine.Read(ctx, q, true)
 	}
+	if m.silent.isSilent(engine, time.Now()) {
+		return m.getRemoteEngine(engine).Read(ctx, q, false)
+	}
 	sidecarCtx, cancel := withSidecarTimeout(ctx)
 	defer cancel()
 	state := &encoder.EngineState{}
@@ -104,6 +110,7 @@
 	}
 	err := m.sidecars.Call(sidecarCtx, m.sidecar(engine), &encoder.Open{Kind: &encoder.Open_EngineQuery{EngineQuery: query}}, state)
 	if err == nil && state.GetAddress() != "" {
+		m.silent.remove(engine)
 		m.receivedCounts.decode(engine, state)
 		return decodeStatus(state)
 	}
@@ -112,11 +119,12 @@
 }
 
 // dropOnTimeout closes the session of a sidecar that did not answer in time, so that the next
-// call dials again.
+// call dials again. Until then its engine is called instead.
 func (m *Messenger) dropOnTimeout(engine netip.AddrPort, err error) {
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		m.sidecars.Drop(m.sidecar(engine))
+		m.silent.add(engine, time.Now(), err)
 	}
 }
 
@@ -127,6 +135,9 @@
 		defer cancel()
 		return m.engine.Send(ctx, d)
 	}
+	if m.silent.isSilent(engine, time.Now()) {
+		return m.getRemoteEngine(engine).Send(ctx, d)
+	}
 	sidecarCtx, cancel := withSidecarTimeout(ctx)
 	defer cancel()
 	result, err := &encoder.EngineResult{NeedsWhole: true}, error(nil)
--- a/internal/group/messenger/relay.go
+++ b/internal/group/messenger/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 // Announce implements commander.Transport. A sidecar that does not get the map asks for it
 // when it gets the order.
 func (m *Messenger) Announce(ctx context.Context, engines []netip.AddrPort, p commander.Prepare, epoch uint64) {
+	now := time.Now()
+	engines = slices.DeleteFunc(engines, func(e netip.AddrPort) bool { return m.silent.isSilent(e, now) })
 	if len(engines) < minRelayedRanks {
 		return
 	}
