Group: a log line and metrics show a map that does not follow demand

A leader that never sees its whole group counts as not following; one whose best plan is not worth its copies does not.

--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -81,6 +81,8 @@
 	heldSince time.Time
 	heldStep  uint64
 	leading   bool
+	// delay is how long the demand has not been followed.
+	delay followDelay
 }
 
 // New returns a Balancer of the sidecar beside the engine at own.
@@ -114,6 +116,10 @@
 		log.Info("leadership changed", "event", "leader", "leads", lead, "rank", rank, "quiet", sinceRead)
 		b.leading = lead
 		b.demand = nil
+		b.delay.start(now)
+		if !lead {
+			b.delay.end()
+		}
 	}
 	return lead
 }
@@ -141,6 +147,11 @@
 	if own.Broken || engine == nil || engine.LayerSets == 0 || !b.shouldLead(own.Rank, own.Size, time.Now()) {
 		return roundInterval
 	}
+	if own.Running == 0 {
+		// An idle group has no demand to follow.
+		b.delay.start(time.Now())
+	}
+	b.delay.report(own.Group, time.Now())
 	var g commander.Group
 	if !sampler.ReadsAllRanks(own.Size) {
 		switch result := b.sample(ctx, own, engine).(type) {
@@ -250,6 +261,7 @@
 	}
 	readSeconds.Update(time.Since(start).Seconds())
 	g, err := commander.NewGroup(members)
+	b.delay.setResult(err)
 	if err != nil {
 		partialReads.Inc()
 		log.Info("failed to read all ranks of the group", "event", "group_partial", "group", own.Group, "read", len(members), "size", own.Size, "error", err)
@@ -282,7 +294,9 @@
 // isSkewed reports whether a plan might reduce the skew by minSkewGain. No plan lowers the
 // skew below 1, and planning for a large group is expensive.
 func (b *Balancer) isSkewed(engine *holder.Engine) bool {
-	return shifter.Skew(b.placement, b.demand.Get(), b.bounds(engine)) >= 1+minSkewGain
+	skew := shifter.Skew(b.placement, b.demand.Get(), b.bounds(engine))
+	b.delay.observe(skew, time.Now())
+	return skew >= 1+minSkewGain
 }
 
 // handleHeldPass waits for the leader that holds a pass, and ends the hold after
@@ -316,14 +330,17 @@
 	planTime := time.Since(start)
 	copying := b.copyTime(plan, engine)
 	if plan.Before-plan.After < max(minSkewGain, copySlowdown*copying.Seconds()/demandDuration.Seconds()) {
+		b.delay.setFollowed()
 		return
 	}
 	version := b.commander.NewVersion(g, own.Rank, time.Now())
 	err := b.commander.Change(ctx, g, own, commander.Prepare{
 		Version: version, Placement: plan.Placement, BaseVersion: b.knownVersion, Base: b.placement,
 	})
+	b.delay.setResult(err)
 	if err == nil {
 		b.placement, b.knownVersion = plan.Placement, version
+		b.delay.setFollowed()
 	}
 	countChange(err, time.Since(start), planTime)
 	log.Info("map change", "event", "map_change", "group", own.Group, "epoch", g.Epoch(), "version", version, "pass", g.Step(),
--- a/internal/group/balancer/metrics.go
+++ b/internal/group/balancer/metrics.go
@@ -13,7 +13,11 @@
 	planSeconds   = metrics.NewHistogram("siskinfall_map_plan_seconds")
 	recoveries    = metrics.NewCounter("siskinfall_map_recoveries_total")
 	readSeconds   = metrics.NewHistogram("siskinfall_group_read_seconds")
-	partialReads  = metrics.NewCounter("siskinfall_group_partial_reads_total")
+	// mapSkew and followDelaySeconds are those of the group that this process leads.
+	mapSkew            = metrics.NewGauge("siskinfall_map_skew", nil)
+	followDelaySeconds = metrics.NewGauge("siskinfall_map_follow_delay_seconds", nil)
+	mapsNotFollowing   = metrics.NewCounter("siskinfall_map_overdue_total")
+	partialReads       = metrics.NewCounter("siskinfall_group_partial_reads_total")
 )
 
 func countChange(err error, took, planTime time.Duration) {
