Gateways fetch newer state from one gateway at a time

Cause of the bytes: each gateway asks all others for their state, and every one that had newer state sent it whole. The same holds for the list of servers, at each change of a server.

Change: an exchange carries versions. A gateway that hears of newer state waits for its own watch of the store, if that works, for 0.4 s, in a large fleet 0.9 s; then it fetches the state from one gateway, and from another after 0.6 s without an answer. A gateway that starts waits for nothing, and is not ready before the fetch has ended. Older builds still get state unasked.

Metric: siskinfall_sync_sent_total.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -79,21 +79,38 @@
 	mu      sync.Mutex
 	members map[netip.AddrPort]*member
 	// gone holds when members expired that keep their share of the fleet's totals.
-	gone map[netip.AddrPort]time.Time
+	gone    map[netip.AddrPort]time.Time
+	fetches fetches
+	// isStoreAvailable reports whether this gateway reads the store itself.
+	isStoreAvailable func() bool
 	// encoded is the catalog of encodedVersion as JSON.
 	encoded        []byte
 	encodedVersion uint64
 }
 
+// Option configures a Gossiper.
+type Option func(*Gossiper)
+
+// WithStoreState sets a function that reports whether this gateway reads the store itself, so
+// that what has just changed need not be fetched from others.
+func WithStoreState(isAvailable func() bool) Option {
+	return func(g *Gossiper) { g.isStoreAvailable = isAvailable }
+}
+
 // New returns a Gossiper. own is the address of this gateway's listener for peers;
 // seeds may be stale. onGatewayCount receives the number of gateways, this one
 // included, on every update of the members, and the number that may use a share of the
 // fleet's totals.
-func New(own netip.AddrPort, seeds []netip.AddrPort, pool *connector.Pool, catalog *holder.Holder, servers *lister.Lister, losses *quarantiner.Set, onGatewayCount func(members, sharers int)) *Gossiper {
-	return &Gossiper{
+func New(own netip.AddrPort, seeds []netip.AddrPort, pool *connector.Pool, catalog *holder.Holder, servers *lister.Lister, losses *quarantiner.Set, onGatewayCount func(members, sharers int), opts ...Option) *Gossiper {
+	g := &Gossiper{
 		own: own, seeds: seeds, pool: pool, catalog: catalog, servers: servers, losses: losses, onGatewayCount: onGatewayCount,
 		members: make(map[netip.AddrPort]*member), gone: make(map[netip.AddrPort]time.Time),
+		isStoreAvailable: func() bool { return false },
 	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
 }
 
 // AddGateways adds gateways by address; it logs and skips an invalid address.
@@ -208,33 +225,79 @@
 	defer func() { _ = s.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
-	// peerFingerprint is that of the peer's losses in its last answer.
-	peerFingerprint := uint64(0)
-	for ctx.Err() == nil {
-		if err := s.SetWriteDeadline(time.Now().Add(answerTimeout)); err != nil {
-			return err
-		}
-		if err := s.Send(g.newRequest(peerFingerprint, time.Now())); err != nil {
-			return err
-		}
-		if err := s.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
-			return err
-		}
-		answer := &encoder.GatewaySync{}
-		if err := s.Receive(answer); err != nil {
-			return err
-		}
-		if *unreachable {
+	return g.poll(ctx, addr, func(request *encoder.GatewaySync) (*encoder.GatewaySync, error) {
+		answer, err := callPeer(s, request)
+		if err == nil && *unreachable {
 			log.Info("connected to gateway", "event", "peer_regained", "peer", addr)
 			*unreachable = false
 		}
+		return answer, err
+	})
+}
+
+// callPeer sends a request and receives the answer.
+func callPeer(s *connector.Stream, request *encoder.GatewaySync) (*encoder.GatewaySync, error) {
+	if err := s.SetWriteDeadline(time.Now().Add(answerTimeout)); err != nil {
+		return nil, err
+	}
+	if err := s.Send(request); err != nil {
+		return nil, err
+	}
+	if err := s.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
+		return nil, err
+	}
+	answer := &encoder.GatewaySync{}
+	return answer, s.Receive(answer)
+}
+
+// poll exchanges state with one gateway until a call fails. State that is due is fetched
+// without a pause.
+func (g *Gossiper) poll(ctx context.Context, addr netip.AddrPort, call func(*encoder.GatewaySync) (*encoder.GatewaySync, error)) error {
+	// last is the peer's last answer.
+	last := &encoder.GatewaySync{}
+	for ctx.Err() == nil {
+		request := g.newRequest(last.GetLossesFingerprint(), time.Now())
+		fetched := g.fetches.begin(g.getLag(last, time.Now()), time.Now())
+		request.Pulls, request.WantsCatalog, request.WantsServers = true, fetched[partCatalog], fetched[partServers]
+		answer, err := call(request)
+		g.fetches.end(fetched)
+		if err != nil {
+			return err
+		}
 		g.applyAnswer(answer, addr, time.Now())
-		peerFingerprint = answer.GetLossesFingerprint()
+		last = answer
+		if fetched == (parts{}) && g.fetches.getDue(g.getLag(last, time.Now()), time.Now()) != (parts{}) {
+			continue
+		}
+		g.setTried(addr)
 		sleeper.Sleep(ctx, g.currentSyncInterval())
 	}
 	return nil
 }
 
+// getLag returns which state of a peer is newer than that here, by its last answer. After the
+// start nothing is left to the store, which may have older state than the peers.
+func (g *Gossiper) getLag(m *encoder.GatewaySync, now time.Time) lag {
+	version, servers := g.catalog.GetVersion(), g.servers.GetLastChange()
+	l := lag{
+		newer: parts{partCatalog: m.GetCatalogVersion() > version, partServers: servers.Before(serversPosition(m))},
+		own:   [partCount]lister.Position{partCatalog: {Revision: version}, partServers: servers},
+	}
+	if g.isStoreAvailable() && now.Sub(g.started) > firstAnswersTimeout {
+		l.storeDelay = fetchDelay
+		if g.countMembers() > scaleGateways {
+			l.storeDelay = maxFetchDelay
+		}
+	}
+	return l
+}
+
+func (g *Gossiper) countMembers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members)
+}
+
 // Serve answers another gateway's sync requests until the stream ends, and returns the
 // error that ended it.
 func (g *Gossiper) Serve(s *connector.Stream) error {
@@ -264,9 +327,7 @@
 
 // currentSyncInterval returns the pause between two exchanges with one gateway.
 func (g *Gossiper) currentSyncInterval() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return min(max(syncInterval*time.Duration(len(g.members))/scaleGateways, syncInterval), maxSyncInterval)
+	return min(max(syncInterval*time.Duration(g.countMembers())/scaleGateways, syncInterval), maxSyncInterval)
 }
 
 // newSync returns a message with the versions of this gateway's state, without the state
@@ -301,20 +362,22 @@
 	if request.GetLossesFingerprint() != m.GetLossesFingerprint() {
 		m.Losses = encodeLosses(g.losses.Export(now), now)
 	}
-	if c := g.catalog.Get(); c != nil && c.Version > request.GetCatalogVersion() {
+	if c := g.catalog.Get(); c != nil && c.Version > request.GetCatalogVersion() && (!request.GetPulls() || request.GetWantsCatalog()) {
 		data, err := g.encodeCatalog(c)
 		if err != nil {
 			return nil, err
 		}
 		m.Catalog = data
+		catalogsSent.Inc()
 	}
-	servers, lastChange := g.servers.GetSnapshot()
-	if serversPosition(request).Before(lastChange) {
+	if serversPosition(request).Before(g.servers.GetLastChange()) && (!request.GetPulls() || request.GetWantsServers()) {
+		servers, lastChange := g.servers.GetSnapshot()
 		data, err := json.Marshal(servers)
 		if err != nil {
 			return nil, err
 		}
 		m.Servers, m.ServersEra, m.ServersRevision = data, lastChange.Era, lastChange.Revision
+		serverListsSent.Inc()
 	}
 	return m, nil
 }
@@ -380,8 +443,6 @@
 	g.mu.Unlock()
 	g.AddGateways(m.GetGateways())
 	g.mergeLosses(m, addr.String(), now)
-	// A gateway that starts is ready after the first answers, so their catalog goes first.
-	defer g.setTried(addr)
 	if len(m.GetCatalog()) > 0 {
 		c := &holder.Catalog{}
 		if err := json.Unmarshal(m.GetCatalog(), c); err != nil {
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -79,9 +79,14 @@
 	servers *lister.Lister
 	// gateways is the number of gateways that send changes to each other.
 	gateways atomic.Int64
-	era      era
+	// unavailable counts the tables whose latest call failed.
+	unavailable atomic.Int64
+	era         era
 }
 
+// IsAvailable reports whether the latest calls to the store succeeded.
+func (w *Watcher) IsAvailable() bool { return w.unavailable.Load() == 0 }
+
 // SetGateways sets the number of gateways that send changes to each other, this one
 // included.
 func (w *Watcher) SetGateways(n int) { w.gateways.Store(int64(n)) }
@@ -261,8 +266,10 @@
 	}
 	f.unavailable = unavailable
 	if unavailable {
+		f.Watcher.unavailable.Add(1)
 		log.Warn("store unavailable", "event", "store_lost", "table", f.table, "error", err)
 		return
 	}
+	f.Watcher.unavailable.Add(-1)
 	log.Info("store available again", "event", "store_regained", "table", f.table, "after", f.after.Revision, "era", f.after.Era)
 }
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -96,7 +96,7 @@
 		g.retryBudget.SetGateways(sharers)
 		g.placer.SetGateways(members)
 		g.watcher.SetGateways(members)
-	})
+	}, gossiper.WithStoreState(g.watcher.IsAvailable))
 	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways)
 	g.servers.OnChange(g.subscriber.SetServers)
 	return g
