Gateways and sidecars: lists of the fleet are not repeated on each stream

Each of 129 sidecars sent the addresses of 99 gateways to each gateway, and each gateway the addresses of 129 engines to each sidecar: 2 to 2.4 KB, on 12,771 streams in each direction, every 5 s and at each change, worked out from the code as some 11 MB a second; at a start, where the list of gateways changes with each of them, more.

Change: a sidecar sends an address once a minute on a stream, and at once if it was gone; receivers add what they get.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -424,6 +424,18 @@
 	return addrs
 }
 
+// IsAmongFirst reports whether this gateway is one of the first n in an order of the live
+// gateways that depends on key, so that n of them do what is to be done for key.
+func (g *Gossiper) IsAmongFirst(n int, key string, now time.Time) bool {
+	own, before := xxhash.Sum64String(g.own.String()+key), 0
+	for _, addr := range g.getLive(now) {
+		if xxhash.Sum64String(addr.String()+key) < own {
+			before++
+		}
+	}
+	return before < n
+}
+
 // digest returns a hash of a set of gateways, this one included, that does not depend
 // on their order.
 func (g *Gossiper) digest(others []string) uint64 {
--- a/internal/fleet/gossiper/gossiper_test.go
+++ b/internal/fleet/gossiper/gossiper_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -140,3 +142,38 @@
 	c.Assert(g.currentSyncInterval() > 2*syncInterval, qt.IsTrue)
 	c.Assert(g.currentSyncInterval() < livenessTimeout, qt.IsTrue)
 }
+
+// TestFewGatewaysTellEachSidecar guards against a list of engines that each gateway sends to
+// each sidecar, and against sidecars that no gateway tells.
+func TestFewGatewaysTellEachSidecar(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	addrs := make([]string, 0, 99)
+	for i := range 99 {
+		addrs = append(addrs, fmt.Sprintf("127.0.8.%d:80", i+1))
+	}
+	gateways := make([]*Gossiper, 0, len(addrs))
+	for _, addr := range addrs {
+		g := New(netip.MustParseAddrPort(addr), nil, nil, holder.New(), lister.New(), quarantiner.New(1), func(int, int) {})
+		g.AddGateways(addrs)
+		gateways = append(gateways, g)
+	}
+	byGateway := make([]int, len(gateways))
+	for sidecar := range 129 {
+		tellers := 0
+		for i, g := range gateways {
+			if g.IsAmongFirst(3, fmt.Sprint("side-", sidecar), now) {
+				tellers++
+				byGateway[i]++
+			}
+		}
+		c.Assert(tellers, qt.Equals, 3)
+	}
+	c.Assert(slices.Max(byGateway) < 15, qt.IsTrue, qt.Commentf("%v", byGateway))
+	// Gateways that no longer answer are left out.
+	alone := New(netip.MustParseAddrPort(addrs[0]), nil, nil, holder.New(), lister.New(), quarantiner.New(1), func(int, int) {})
+	alone.AddGateways(addrs)
+	for sidecar := range 129 {
+		c.Assert(alone.IsAmongFirst(3, fmt.Sprint("side-", sidecar), now.Add(livenessTimeout+time.Second)), qt.IsTrue)
+	}
+}
--- a/internal/fleet/subscriber/publisher.go
+++ b/internal/fleet/subscriber/publisher.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -186,18 +185,14 @@
 	}()
 	var sent *encoder.EngineLoad
 	var sentAt time.Time
-	gatewaysFilter := changeFilter{}
+	gateways := newMemberFilter()
 	for {
 		load, changed := p.getLoad()
 		if load != nil && (!sameLoad(sent, load) || time.Since(sentAt) > unchangedLoadInterval) {
 			if err := s.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 				return wrapper.At("tell_load", gateway, err)
 			}
-			m := load
-			if !gatewaysFilter.isDue(strings.Join(load.GetGateways(), ","), time.Now()) {
-				m = withoutGateways(load)
-			}
-			if err := s.Send(m); err != nil {
+			if err := s.Send(withGateways(load, gateways.take(load.GetGateways(), time.Now()))); err != nil {
 				return err
 			}
 			sent, sentAt = load, time.Now()
@@ -210,13 +205,13 @@
 	}
 }
 
-// withoutGateways returns a copy of load without the gateways, which seldom change.
-func withoutGateways(load *encoder.EngineLoad) *encoder.EngineLoad {
+// withGateways returns a copy of load with other gateways.
+func withGateways(load *encoder.EngineLoad, gateways []string) *encoder.EngineLoad {
 	m, ok := proto.Clone(load).(*encoder.EngineLoad)
 	if !ok {
 		return load
 	}
-	m.Gateways = nil
+	m.Gateways = gateways
 	return m
 }
 
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -32,7 +32,9 @@
 	placer  *placer.Placer
 	// onGateways receives the addresses of gateways that a sidecar reports.
 	onGateways func([]string)
-	mu         sync.Mutex
+	// isTeller reports whether this gateway tells a sidecar of its service's engines.
+	isTeller func(sidecar netip.AddrPort) bool
+	mu       sync.Mutex
 	// servers is the latest list. followed holds the cancel functions of the goroutines, by
 	// the address of the engine.
 	servers  []lister.Server
@@ -41,10 +43,11 @@
 
 // New returns a Subscriber. own is the address of this gateway's listener for peers, and
 // port the port on which every sidecar listens. onGateways receives the addresses of
-// gateways that a sidecar reports.
-func New(own netip.AddrPort, port uint16, pool *connector.Pool, catalog *holder.Holder, p *placer.Placer, onGateways func([]string)) *Subscriber {
+// gateways that a sidecar reports. isTeller reports whether this gateway tells a sidecar of
+// its service's engines, which some of the gateways do.
+func New(own netip.AddrPort, port uint16, pool *connector.Pool, catalog *holder.Holder, p *placer.Placer, onGateways func([]string), isTeller func(netip.AddrPort) bool) *Subscriber {
 	return &Subscriber{
-		own: own, port: port, pool: pool, catalog: catalog, placer: p, onGateways: onGateways,
+		own: own, port: port, pool: pool, catalog: catalog, placer: p, onGateways: onGateways, isTeller: isTeller,
 		followed: make(map[netip.AddrPort]context.CancelFunc),
 	}
 }
@@ -121,7 +124,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	context.AfterFunc(ctx, func() { _ = st.Close() })
-	go s.sendUpdates(ctx, st, service)
+	go s.sendUpdates(ctx, st, sidecar, service)
 	for {
 		if err := st.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
 			return err
@@ -148,17 +151,14 @@
 }
 
 // sendUpdates sends updates to a sidecar until ctx ends or a send fails.
-func (s *Subscriber) sendUpdates(ctx context.Context, st *connector.Stream, service string) {
+func (s *Subscriber) sendUpdates(ctx context.Context, st *connector.Stream, sidecar netip.AddrPort, service string) {
 	engineFilter := changeFilter{}
 	for ctx.Err() == nil {
-		update, err := s.newUpdate(service)
+		update, err := s.nextUpdate(sidecar, service, &engineFilter, time.Now())
 		if err != nil {
 			log.Error("failed to encode update for sidecar", "event", "bad_news", "error", err)
 			return
 		}
-		if !engineFilter.isDue(string(update.GetEngine())+strings.Join(update.GetEngines(), ","), time.Now()) {
-			update.Engine, update.Engines = nil, nil
-		}
 		if st.SetWriteDeadline(time.Now().Add(sendTimeout)) != nil || st.Send(update) != nil {
 			_ = st.Close()
 			return
@@ -167,6 +167,22 @@
 	}
 }
 
+// nextUpdate returns the next update of a sidecar, with the engines if this gateway tells
+// them and they are due.
+func (s *Subscriber) nextUpdate(sidecar netip.AddrPort, service string, engines *changeFilter, now time.Time) (*encoder.FleetNews, error) {
+	if !s.isTeller(sidecar) {
+		return &encoder.FleetNews{Address: s.own.String(), CatalogVersion: s.catalog.GetVersion()}, nil
+	}
+	update, err := s.newUpdate(service)
+	if err != nil {
+		return nil, err
+	}
+	if !engines.isDue(string(update.GetEngine())+strings.Join(update.GetEngines(), ","), now) {
+		update.Engine, update.Engines = nil, nil
+	}
+	return update, nil
+}
+
 func (s *Subscriber) newUpdate(service string) (*encoder.FleetNews, error) {
 	update := &encoder.FleetNews{Address: s.own.String(), CatalogVersion: s.catalog.GetVersion()}
 	c := s.catalog.Get()
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -47,6 +48,9 @@
 	adminHeaderTimeout = 5 * time.Second
 	// maxHeaderBytes bounds the headers of a caller's request, regardless of the catalog's limit.
 	maxHeaderBytes = 64 << 10
+	// tellersPerSidecar is the number of gateways that tell a sidecar of its service's engines.
+	// With several, one that is cut off or has an older list does no harm.
+	tellersPerSidecar = 3
 	// cleanupInterval is the time between two removals of lapsed servers and idle
 	// connections.
 	cleanupInterval = 500 * time.Millisecond
@@ -97,7 +101,9 @@
 		g.placer.SetGateways(members)
 		g.watcher.SetGateways(members)
 	}, gossiper.WithStoreState(g.watcher.IsAvailable))
-	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways)
+	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
+		return g.gossiper.IsAmongFirst(tellersPerSidecar, sidecar.String(), time.Now())
+	})
 	g.servers.OnChange(g.subscriber.SetServers)
 	return g
 }
