Gateway: comments do not keep a stalled stream open

From the operators' list: stalled streams that sent a byte now and then never ended. It could happen here: each event put off the deadline of the next one, also a comment without data, such as servers send to keep a connection alive. A server that made no progress but sent comments held its caller until the request's own deadline.

Change: only an event with data counts as progress.

Evidence: TestStalledStreamWithCommentsEnds/comments was still open after 20 s on the code before and ends after 1.76 s now, which is the caller's patience of 2 s less the margin. Its other cases passed before and after: bytes of an event that never ends do not put the deadline off, and a stream with an event a second, slow but sound, is whole.

--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -139,7 +139,8 @@
 		if err == nil {
 			skip, err = x.checkOrder(event, id, resumedAfter)
 		}
-		if err == nil && !skip {
+		if err == nil && !skip && hasData(event) {
+			// A comment is no progress of the stream.
 			x.extendEventDeadline(time.Now())
 			err = a.conn.SetReadDeadline(x.eventDeadline)
 		}
