Gateway: work that a model group cuts off is not blamed for a crash

Cause: one crash stops the group, and the other ranks close their streams when the stall has lasted its time. A closed stream counted as a crash.

Change: a connection that the server closes half a second or more after its group was first reported as broken or stalled, while the request was in progress, is lost but no crash. The request that does crash a server is lost before that report; time-outs of silent servers count as before.

--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -221,6 +223,8 @@
 		p.Finish(placer.Failed, time.Now())
 	case errors.Is(err, limiter.ErrTooLarge):
 		p.Finish(placer.Lost, time.Now())
+	case isCutOff(err, p.GetDownSince(), x.sentAt, time.Now()):
+		p.Finish(placer.Lost, time.Now())
 	default:
 		p.Finish(placer.Lost, time.Now())
 		x.addLoss(p)
@@ -231,6 +235,18 @@
 	return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "connection to the backend server broke", retryAfter: failureRetryAfter}}
 }
 
+// minCutOffDelay is how long a group has been down at least when its servers cut off their
+// work. A server that crashes is lost before the stall of its group is reported.
+const minCutOffDelay = 500 * time.Millisecond
+
+// isCutOff reports whether a server has closed the connection because its group has been down
+// for some time. A server that crashes takes the group down and is lost before that; the
+// requests that the others cut off later are not the cause.
+func isCutOff(err error, downSince, sentAt, now time.Time) bool {
+	closed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	return closed && downSince.After(sentAt) && now.Sub(downSince) >= minCutOffDelay
+}
+
 // addLoss records a server that was lost while it had the request. A server that sends
 // without end, or that answers, has not crashed.
 func (x *exchange) addLoss(p *placer.Placed) {
--- a/internal/gateway/placer/outage.go
+++ b/internal/gateway/placer/outage.go
@@ -38,6 +38,9 @@
 	// service is that of the ranks, reportedAt the time of the latest report of any.
 	service    string
 	reportedAt time.Time
+	// downSince is when the group was first reported as broken or stalled, zero if it is
+	// neither.
+	downSince time.Time
 }
 
 // getGroup returns a group by name, and adds it if it is missing.
@@ -61,6 +64,23 @@
 	if load.Stalled {
 		g.stalled[rank] = load.At
 	}
+	switch isDown := anyFresh(g.broken, load.At) || anyFresh(g.stalled, load.At); {
+	case !isDown:
+		g.downSince = time.Time{}
+	case g.downSince.IsZero():
+		g.downSince = load.At
+	}
+}
+
+// GetDownSince returns when the group of the server was reported as broken or stalled, zero
+// if it is neither.
+func (p *Placed) GetDownSince() time.Time {
+	p.placer.mu.Lock()
+	defer p.placer.mu.Unlock()
+	if g := p.placer.groups[p.server.load.Group]; g != nil && !p.server.load.At.IsZero() {
+		return g.downSince
+	}
+	return time.Time{}
 }
 
 // anyFresh reports whether any report is younger than reportTTL.
