Gateway: a request that stops a model group is blocked after two crashes

Weighed: one suspect at a time over all gateways (an agreement for each request); others first at the group's return (the poison comes 0.2 s later all the same); a lower limit. Taken: two crashes where the server was a rank of a group. The tries of a blocked request come after 30 s and 2 min, in place of 5 and 30 s. Other services keep three crashes and their pauses, and an answer still clears a request at once.

Tests: TestRequestThatStopsGroupIsBlockedAfterTwoCrashes, with a request that was there at one of the crashes, which is not stopped; the tests of poison and innocent requests for other services are unchanged.

--- a/internal/fleet/gossiper/loss.go
+++ b/internal/fleet/gossiper/loss.go
@@ -21,7 +21,7 @@
 		for _, l := range r.Losses {
 			m.Servers = append(m.Servers, &encoder.LostServer{
 				Observer: l.Observer, Number: l.Number, Server: l.Server.ID, ServerStartedMillis: l.Server.Started.UnixMilli(),
-				AgeMillis: uint64(max(now.Sub(l.At), 0).Milliseconds()), Explained: l.Explained,
+				AgeMillis: uint64(max(now.Sub(l.At), 0).Milliseconds()), Explained: l.Explained, InGroup: l.InGroup,
 			})
 		}
 		out = append(out, m)
@@ -37,7 +37,7 @@
 			r.Losses = append(r.Losses, quarantiner.Loss{
 				LossID: quarantiner.LossID{Observer: l.GetObserver(), Number: l.GetNumber()},
 				Server: quarantiner.NewServer(l.GetServer(), time.UnixMilli(l.GetServerStartedMillis())),
-				At:     now.Add(-time.Duration(min(l.GetAgeMillis(), maxAgeMillis)) * time.Millisecond), Explained: l.GetExplained(),
+				At:     now.Add(-time.Duration(min(l.GetAgeMillis(), maxAgeMillis)) * time.Millisecond), Explained: l.GetExplained(), InGroup: l.GetInGroup(),
 			})
 		}
 		records = append(records, r)
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -250,7 +250,11 @@
 // addLoss records a server that was lost while it had the request. A server that sends
 // without end, or that answers, has not crashed.
 func (x *exchange) addLoss(p *placer.Placed) {
-	n := x.quarantine.AddLoss(x.digest, quarantiner.NewServer(p.ID, p.Started), x.sentAt, time.Now())
+	var opts []quarantiner.LossOption
+	if p.IsEngine() {
+		opts = append(opts, quarantiner.InGroup())
+	}
+	n := x.quarantine.AddLoss(x.digest, quarantiner.NewServer(p.ID, p.Started), x.sentAt, time.Now(), opts...)
 	losses.Inc()
 	log.Warn("backend server lost while it had the request", "event", "crash", "request", x.ID, "server", p.ID, "digest", x.digest, "crashes", n)
 }
--- a/internal/gateway/placer/outage.go
+++ b/internal/gateway/placer/outage.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// IsEngine reports whether the server is a rank of a model group.
+func (p *Placed) IsEngine() bool {
+	p.placer.mu.Lock()
+	defer p.placer.mu.Unlock()
+	return p.placer.engines[p.Service] != nil
+}
+
 // GetDownSince returns when the group of the server was reported as broken or stalled, zero
 // if it is neither.
 func (p *Placed) GetDownSince() time.Time {
--- a/internal/gateway/quarantiner/loss.go
+++ b/internal/gateway/quarantiner/loss.go
@@ -36,6 +36,8 @@
 	// At is when the server was lost, by the clock of this process. Gateways estimate it
 	// from the age that others report; the earliest estimate holds.
 	At time.Time
+	// InGroup is set if the server was a rank of a model group.
+	InGroup bool
 	// Explained is set once the request is known not to be the cause, and never unset.
 	Explained bool
 }
@@ -59,6 +61,24 @@
 	return n
 }
 
+// isInGroup reports whether a server that counts was a rank of a model group.
+func (e *entry) isInGroup(now time.Time) bool {
+	for _, l := range e.losses {
+		if l.InGroup && l.counts(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// getLimit returns the number of crashes after which the request is blocked.
+func (e *entry) getLimit(now time.Time) int {
+	if e.isInGroup(now) {
+		return maxGroupCrashes
+	}
+	return maxCrashes
+}
+
 // countServerCrashes returns the number of crashes of one server. Two losses of one observer
 // are two crashes: see hasLossSince.
 func countServerCrashes(losses []*Loss) int {
--- a/internal/gateway/quarantiner/quarantiner.go
+++ b/internal/gateway/quarantiner/quarantiner.go
@@ -18,6 +18,10 @@
 	// maxCrashes is the number of crashes after which a request is blocked. Fewer
 	// lost servers could be due to network failures.
 	maxCrashes = 3
+	// maxGroupCrashes is that for a request whose servers are ranks of a model group. Each
+	// crash stops all requests of the group for seconds, and of those in progress on the
+	// rank that crashed first, few are there again when another one crashes.
+	maxGroupCrashes = 2
 	// crashTTL is how long a lost server counts against a request.
 	crashTTL = 10 * time.Minute
 	// forgetAfter is how long a lost server is remembered. It exceeds crashTTL by more than
@@ -95,14 +99,20 @@
 	return s.complete
 }
 
+// LossOption describes a loss.
+type LossOption func(*Loss)
+
+// InGroup says that the server was a rank of a model group, all of which stops with it.
+func InGroup() LossOption { return func(l *Loss) { l.InGroup = true } }
+
 // AddLoss records that a server was lost at now, while it ran a request that this gateway
 // had sent at sentAt. It returns the number of crashes of the request.
-func (s *Set) AddLoss(digest uint64, server Server, sentAt, now time.Time) int {
+func (s *Set) AddLoss(digest uint64, server Server, sentAt, now time.Time, opts ...LossOption) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[digest]
 	if e == nil || !e.hasLossSince(s.observer, server, sentAt) {
-		s.addOwn(digest, server, now)
+		s.addOwn(digest, server, now, opts...)
 	}
 	if e != nil && e.trial != nil && e.trial.isSpent {
 		e.retractTrial()
@@ -111,12 +121,16 @@
 }
 
 // addOwn adds a loss that this gateway has observed.
-func (s *Set) addOwn(digest uint64, server Server, now time.Time) *Loss {
+func (s *Set) addOwn(digest uint64, server Server, now time.Time, opts ...LossOption) *Loss {
 	s.lastNumber++
-	return s.put(digest, Loss{
+	l := Loss{
 		LossID: LossID{Observer: s.observer, Number: s.lastNumber}, Server: server, At: now,
 		Explained: s.served.isInnocent(digest, now, now),
-	}, now)
+	}
+	for _, opt := range opts {
+		opt(&l)
+	}
+	return s.put(digest, l, now)
 }
 
 // AddServed records that a server ran a request and survived. The request is not to blame
@@ -139,7 +153,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[digest]
-	return e != nil && e.countCrashes(now) >= maxCrashes
+	return e != nil && e.countCrashes(now) >= e.getLimit(now)
 }
 
 // put adds a loss to a request's entry, and returns it. Without room, the oldest loss is
--- a/internal/gateway/quarantiner/quarantiner_test.go
+++ b/internal/gateway/quarantiner/quarantiner_test.go
@@ -254,3 +254,33 @@
 	c.Assert(s.entries, qt.HasLen, maxEntries)
 	c.Assert(s.entries[0], qt.IsNil)
 }
+
+// TestRequestThatStopsGroupIsBlockedAfterTwoCrashes guards against a third stop of a whole model
+// group, and against trials that stop it while its callers return.
+func TestRequestThatStopsGroupIsBlockedAfterTwoCrashes(t *testing.T) {
+	c := qt.New(t)
+	s, other := New(1), New(2)
+	const poison, cut = 1, 2
+	s.AddLoss(poison, server(0), start, start, InGroup())
+	s.AddLoss(cut, server(0), start, start, InGroup())
+	c.Assert(s.Admit(poison, start), qt.Equals, Clear)
+	second := start.Add(4 * time.Second)
+	other.AddLoss(poison, server(1), second, second, InGroup())
+	exchange(s, other, second)
+	for _, gateway := range []*Set{s, other} {
+		c.Assert(gateway.Admit(poison, second), qt.Equals, Blocked)
+		// A request that was there once is not stopped.
+		c.Assert(gateway.Admit(cut, second), qt.Equals, Clear)
+	}
+	for after := time.Second; after < groupTrialPauses[0]; after += time.Second {
+		c.Assert(s.Admit(poison, second.Add(after)), qt.Equals, Blocked)
+		c.Assert(other.Admit(poison, second.Add(after)), qt.Equals, Blocked)
+	}
+	// The losses were not its fault: it is tried, served, and no longer blocked.
+	due := second.Add(groupTrialPauses[0])
+	s.Admit(poison, due)
+	c.Assert(s.Admit(poison, due.Add(announceTime)), qt.Equals, Trial)
+	s.AddServed(poison, due.Add(announceTime+time.Second))
+	s.EndTrial(poison, true)
+	c.Assert(s.Admit(poison, due.Add(announceTime+time.Second)), qt.Equals, Clear)
+}
--- a/internal/gateway/quarantiner/trial.go
+++ b/internal/gateway/quarantiner/trial.go
@@ -20,7 +20,12 @@
 // trialPauses are the times after the latest crash of a blocked request at which it is tried
 // once more, in case its servers were lost for another reason. A request that crashes the
 // server of each trial is blocked until its crashes expire.
-var trialPauses = [...]time.Duration{5 * time.Second, 30 * time.Second}
+// A trial in a model group may stop it once more, so it is made when the caller of an innocent
+// request is likely to come again, not while the others still return.
+var (
+	trialPauses      = [...]time.Duration{5 * time.Second, 30 * time.Second}
+	groupTrialPauses = [...]time.Duration{30 * time.Second, 2 * time.Minute}
+)
 
 // Verdict says what may be done with a request.
 type Verdict int
@@ -70,11 +75,11 @@
 	}
 	crashes := e.countCrashes(now)
 	switch {
-	case crashes < maxCrashes:
+	case crashes < e.getLimit(now):
 		return Clear
 	case e.trial != nil:
 		return e.admitTrial(now)
-	case s.isTrialDue(digest, e, crashes-maxCrashes, now):
+	case s.isTrialDue(digest, e, crashes-e.getLimit(now), now):
 		e.trial = &trial{loss: s.addOwn(digest, Server{}, now)}
 	}
 	return Blocked
@@ -83,7 +88,11 @@
 // isTrialDue reports whether this gateway is to announce a trial after a number of earlier
 // ones.
 func (s *Set) isTrialDue(digest uint64, e *entry, trials int, now time.Time) bool {
-	return trials < len(trialPauses) && now.Sub(e.getLatest(now)) >= trialPauses[trials] && !s.fleet.isCut && s.fleet.isOwner(digest)
+	pauses := trialPauses
+	if e.isInGroup(now) {
+		pauses = groupTrialPauses
+	}
+	return trials < len(pauses) && now.Sub(e.getLatest(now)) >= pauses[trials] && !s.fleet.isCut && s.fleet.isOwner(digest)
 }
 
 // admitTrial returns Trial once for an announced trial.
