Gossiper: the order of gateways for a key costs no allocations

Question: what does the choice of the three tellers cost? It is made once a second for each of 129 sidecars over 98 members, worked out as 25,000 allocations a second for address texts; now none.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"net/netip"
 	"slices"
@@ -63,6 +64,9 @@
 	cancel context.CancelFunc
 }
 
+// isLive reports whether the member has answered lately.
+func (m *member) isLive(now time.Time) bool { return now.Sub(m.lastAnswer) < livenessTimeout }
+
 // Gossiper exchanges state with all other gateways. It is safe for concurrent use.
 type Gossiper struct {
 	own     netip.AddrPort
@@ -417,7 +421,7 @@
 	defer g.mu.Unlock()
 	var addrs []netip.AddrPort
 	for addr, m := range g.members {
-		if now.Sub(m.lastAnswer) < livenessTimeout {
+		if m.isLive(now) {
 			addrs = append(addrs, addr)
 		}
 	}
@@ -427,15 +431,28 @@
 // IsAmongFirst reports whether this gateway is one of the first n in an order of the live
 // gateways that depends on key, so that n of them do what is to be done for key.
 func (g *Gossiper) IsAmongFirst(n int, key string, now time.Time) bool {
-	own, before := xxhash.Sum64String(g.own.String()+key), 0
-	for _, addr := range g.getLive(now) {
-		if xxhash.Sum64String(addr.String()+key) < own {
+	keyHash := xxhash.Sum64String(key)
+	own, before := order(g.own, keyHash), 0
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for addr, m := range g.members {
+		if m.isLive(now) && order(addr, keyHash) < own {
 			before++
 		}
 	}
 	return before < n
 }
 
+// order returns the place of a gateway in the order of a key.
+func order(addr netip.AddrPort, keyHash uint64) uint64 {
+	ip := addr.Addr().As16()
+	var b [26]byte
+	copy(b[:], ip[:])
+	binary.BigEndian.PutUint16(b[16:], addr.Port())
+	binary.BigEndian.PutUint64(b[18:], keyHash)
+	return xxhash.Sum64(b[:])
+}
+
 // digest returns a hash of a set of gateways, this one included, that does not depend
 // on their order.
 func (g *Gossiper) digest(others []string) uint64 {
