Gateways: twelve watch the store, in any fleet; state passes compressed

Change: the first twelve live gateways in an order of the key "store" watch, for 2 to 4 s a call. Others read it every 10 to 20 s, take what is new from those at once, and watch themselves when no source has confirmed the catalog for 4.8 s. Fleets of up to twelve are as before. Lists and catalogs go over the wire compressed, as most gateways now get them from a peer.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"net/netip"
 	"slices"
 	"sync"
@@ -87,7 +86,7 @@
 	fetches fetches
 	// isStoreAvailable reports whether this gateway reads the store itself.
 	isStoreAvailable func() bool
-	// encoded is the catalog of encodedVersion as JSON.
+	// encoded is the catalog of encodedVersion, compressed.
 	encoded        []byte
 	encodedVersion uint64
 }
@@ -367,19 +366,20 @@
 		m.Losses = encodeLosses(g.losses.Export(now), now)
 	}
 	if c := g.catalog.Get(); c != nil && c.Version > request.GetCatalogVersion() && (!request.GetPulls() || request.GetWantsCatalog()) {
-		data, err := g.encodeCatalog(c)
+		data, err := g.encodeCatalog(c, request.GetPulls())
 		if err != nil {
 			return nil, err
 		}
-		m.Catalog = data
+		m.Catalog, m.Pulls = data, request.GetPulls()
 		catalogsSent.Inc()
 	}
 	if serversPosition(request).Before(g.servers.GetLastChange()) && (!request.GetPulls() || request.GetWantsServers()) {
 		servers, lastChange := g.servers.GetSnapshot()
-		data, err := json.Marshal(servers)
+		data, err := encodeState(servers, request.GetPulls())
 		if err != nil {
 			return nil, err
 		}
+		m.Pulls = request.GetPulls()
 		m.Servers, m.ServersEra, m.ServersRevision = data, lastChange.Era, lastChange.Revision
 		serverListsSent.Inc()
 	}
@@ -391,19 +391,18 @@
 	return lister.Position{Era: m.GetServersEra(), Revision: m.GetServersRevision()}
 }
 
-// encodeCatalog returns the catalog as JSON, encoded once for each version.
-func (g *Gossiper) encodeCatalog(c *holder.Catalog) ([]byte, error) {
+// encodeCatalog returns the encoded catalog, encoded once for each version if it is compressed.
+func (g *Gossiper) encodeCatalog(c *holder.Catalog, compress bool) ([]byte, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.encodedVersion == c.Version {
+	if compress && g.encodedVersion == c.Version {
 		return g.encoded, nil
 	}
-	data, err := json.Marshal(c)
-	if err != nil {
-		return nil, err
+	data, err := encodeState(c, compress)
+	if err == nil && compress {
+		g.encoded, g.encodedVersion = data, c.Version
 	}
-	g.encoded, g.encodedVersion = data, c.Version
-	return data, nil
+	return data, err
 }
 
 func (g *Gossiper) liveGateways(now time.Time) []string {
@@ -474,7 +473,7 @@
 	g.mergeLosses(m, addr.String(), now)
 	if len(m.GetCatalog()) > 0 {
 		c := &holder.Catalog{}
-		if err := json.Unmarshal(m.GetCatalog(), c); err != nil {
+		if err := decodeState(m.GetCatalog(), m.GetPulls(), c); err != nil {
 			log.Error("failed to decode catalog from peer", "event", "bad_news", "peer", addr, "error", err)
 		} else {
 			g.catalog.ApplyIfNewer(c, addr.String())
@@ -486,7 +485,7 @@
 	}
 	if len(m.GetServers()) > 0 {
 		var servers []lister.Server
-		if err := json.Unmarshal(m.GetServers(), &servers); err != nil {
+		if err := decodeState(m.GetServers(), m.GetPulls(), &servers); err != nil {
 			log.Error("failed to decode server list from peer", "event", "bad_news", "peer", addr, "error", err)
 		} else {
 			g.servers.Merge(servers, serversPosition(m), now)
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -47,14 +47,17 @@
 	// milliseconds, and in a quarter of a second while it is slow.
 	readTimeout = 1500 * time.Millisecond
 	// watchWait is how long a call waits for a change. Each call has a cost, and the
-	// gateways send changes to each other in the meantime.
+	// gateways send changes to each other in the meantime. In a large fleet only some
+	// gateways watch, and the others take a catalog for confirmed when one of these does.
 	watchWait = 4 * time.Second
-	// scaleGateways is the number of gateways above which each waits longer, in
-	// proportion to it: one of them receives a change as soon, and each call counts
-	// against the store's rate limit.
+	// scaleGateways is the number of gateways above which each pauses longer between
+	// calls, in proportion to it, as each call counts against the store's rate limit.
 	scaleGateways = 12
-	// maxWatchWait bounds the scaled wait; the store allows 30 s.
-	maxWatchWait = 16 * time.Second
+	// checkInterval is the pause between two calls of a gateway that does not watch, drawn
+	// between half and all of it.
+	checkInterval = 20 * time.Second
+	// roleInterval is how often such a gateway looks whether it has to watch.
+	roleInterval = 200 * time.Millisecond
 	// batchInterval is the pause after a call, in which further changes accumulate:
 	// servers join and leave together, and each call has a cost. Above scaleGateways it
 	// grows in proportion, up to maxBatchInterval, as a change must be in force within two
@@ -82,18 +85,32 @@
 	// unavailable counts the tables whose latest call failed.
 	unavailable atomic.Int64
 	era         era
+	// watches reports whether this gateway watches the store.
+	watches func() bool
 }
 
-// IsAvailable reports whether the latest calls to the store succeeded.
-func (w *Watcher) IsAvailable() bool { return w.unavailable.Load() == 0 }
-
 // SetGateways sets the number of gateways that send changes to each other, this one
 // included.
 func (w *Watcher) SetGateways(n int) { w.gateways.Store(int64(n)) }
 
-// currentWatchWait returns how long a call waits for a change.
-func (w *Watcher) currentWatchWait() time.Duration {
-	return min(max(watchWait*time.Duration(w.gateways.Load())/scaleGateways, watchWait), maxWatchWait)
+// Option configures a Watcher.
+type Option func(*Watcher)
+
+// WithRole sets a function that reports whether this gateway watches the store. Others read
+// it seldom, since those that watch pass changes on.
+func WithRole(watches func() bool) Option { return func(w *Watcher) { w.watches = watches } }
+
+// IsUpToDate reports whether this gateway watches the store, and the latest calls succeeded.
+func (w *Watcher) IsUpToDate() bool { return w.unavailable.Load() == 0 && w.watches() }
+
+// nextWatchWait returns how long the next call waits for a change. In a large fleet it is drawn
+// at random: gateways that a change has woken together would otherwise confirm the catalog
+// together, and it would look old to all others before the next time.
+func (w *Watcher) nextWatchWait() time.Duration {
+	if w.gateways.Load() <= scaleGateways {
+		return watchWait
+	}
+	return watchWait/2 + rand.N(watchWait/2)
 }
 
 // nextBatchInterval returns the pause after the next call, drawn at random in a large
@@ -113,8 +130,11 @@
 }
 
 // New returns a Watcher that keeps catalog and servers up to date.
-func New(source Source, catalog *holder.Holder, servers *lister.Lister) *Watcher {
-	w := &Watcher{source: source, catalog: catalog, servers: servers}
+func New(source Source, catalog *holder.Holder, servers *lister.Lister, opts ...Option) *Watcher {
+	w := &Watcher{source: source, catalog: catalog, servers: servers, watches: func() bool { return true }}
+	for _, opt := range opts {
+		opt(w)
+	}
 	// Another gateway may be the first to read the restored store.
 	servers.OnEra(w.era.raise)
 	return w
@@ -200,6 +220,7 @@
 			f.setUnavailable(false, nil)
 			backoff = minBackoff
 			sleeper.Sleep(ctx, f.nextBatchInterval())
+			f.rest(ctx)
 			continue
 		}
 		if errors.Is(err, ErrHistoryLost) || errors.Is(err, errRestored) {
@@ -217,8 +238,8 @@
 	timeout, wait := readTimeout, time.Duration(0)
 	// After a failure the first call does not wait, so that the store's recovery is
 	// noticed at once and changes made during the outage do not count as new ones.
-	if f.loaded && !f.unavailable {
-		wait = f.currentWatchWait()
+	if f.loaded && !f.unavailable && f.watches() {
+		wait = f.nextWatchWait()
 		timeout += wait
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -252,6 +273,15 @@
 	return nil
 }
 
+// rest waits until the next call of a gateway that does not watch, or until it has to watch
+// or to read the table again.
+func (f *follower) rest(ctx context.Context) {
+	until := time.Now().Add(checkInterval/2 + rand.N(checkInterval/2))
+	for ctx.Err() == nil && !f.watches() && f.era.get() <= f.after.Era && time.Now().Before(until) {
+		sleeper.Sleep(ctx, roleInterval)
+	}
+}
+
 // read reads the whole table, or its changes once it is loaded.
 func (f *follower) read(ctx context.Context, wait time.Duration) (update, error) {
 	if !f.loaded {
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -51,6 +51,13 @@
 	// tellersPerSidecar is the number of gateways that tell a sidecar of its service's engines.
 	// With several, one that is cut off or has an older list does no harm.
 	tellersPerSidecar = 3
+	// storeWatchers is the number of gateways that watch the store. The store turns away a third
+	// of the instances at times.
+	storeWatchers = 12
+	// maxUnconfirmed is the age of the catalog from which on a gateway watches the store in any
+	// case: those that should seem not to reach it. It is below the age at which requests are
+	// no longer denied by the catalog, and above the wait of a watch.
+	maxUnconfirmed = 4800 * time.Millisecond
 	// cleanupInterval is the time between two removals of lapsed servers and idle
 	// connections.
 	cleanupInterval = 500 * time.Millisecond
@@ -87,7 +94,7 @@
 	g.catalog.OnChange(g.placer.SetCatalog)
 	g.servers.OnChange(g.placer.SetServers)
 	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone)
-	g.watcher = watcher.New(source, g.catalog, g.servers)
+	g.watcher = watcher.New(source, g.catalog, g.servers, watcher.WithRole(g.watchesStore))
 	g.hello = &encoder.Hello{
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
 	}
@@ -100,7 +107,7 @@
 		g.retryBudget.SetGateways(sharers)
 		g.placer.SetGateways(members)
 		g.watcher.SetGateways(members)
-	}, gossiper.WithStoreState(g.watcher.IsAvailable))
+	}, gossiper.WithStoreState(g.watcher.IsUpToDate))
 	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
 		return g.gossiper.IsAmongFirst(tellersPerSidecar, sidecar.String(), time.Now())
 	})
@@ -108,6 +115,12 @@
 	return g
 }
 
+// watchesStore reports whether this gateway watches the store.
+func (g *Gateway) watchesStore() bool {
+	now := time.Now()
+	return g.gossiper.IsAmongFirst(storeWatchers, "store", now) || g.catalog.GetAge(now) > maxUnconfirmed
+}
+
 // SetJSONLog configures the process's log as JSON lines on standard output. Lines
 // are dropped rather than block the caller.
 func SetJSONLog(cfg *loader.Settings) error {
