--- a/internal/fleet/gossiper/gossiper_test.go
+++ b/internal/fleet/gossiper/gossiper_test.go
@@ -147,7 +147,6 @@
 // each sidecar, and against sidecars that no gateway tells.
 func TestFewGatewaysTellEachSidecar(t *testing.T) {
 	c := qt.New(t)
-	now := time.Now()
 	addrs := make([]string, 0, 99)
 	for i := range 99 {
 		addrs = append(addrs, fmt.Sprintf("127.0.8.%d:80", i+1))
@@ -158,6 +157,7 @@
 		g.AddGateways(addrs)
 		gateways = append(gateways, g)
 	}
+	now := time.Now()
 	byGateway := make([]int, len(gateways))
 	for sidecar := range 129 {
 		tellers := 0
@@ -173,6 +173,7 @@
 	// Gateways that no longer answer are left out.
 	alone := New(netip.MustParseAddrPort(addrs[0]), nil, nil, holder.New(), lister.New(), quarantiner.New(1), func(int, int) {})
 	alone.AddGateways(addrs)
+	now = time.Now()
 	for sidecar := range 129 {
 		c.Assert(alone.IsAmongFirst(3, fmt.Sprint("side-", sidecar), now.Add(livenessTimeout+time.Second)), qt.IsTrue)
 	}
