Lister: a list that comes again does not end the grace of lapsed servers

Cause: servers that had lapsed counted as missing again, and fewer than half of all are dropped without grace.

Change: only entries can be missing; lapsed servers end by their deadline, by a removal, or by their return.

Test: TestServersThatTheCopyLacksAreKeptUntilTheyRegister with the list twice, red before, green now.

--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -237,7 +237,7 @@
 		l.setLastChange(s.Revision)
 	}
 	var missing []string
-	for _, id := range l.ids() {
+	for id := range l.entries {
 		if !present[id] {
 			missing = append(missing, id)
 			l.setLastChange(position.Revision)
@@ -249,18 +249,6 @@
 	l.notify()
 }
 
-// ids returns the IDs of all entries and lapsed servers.
-func (l *Lister) ids() []string {
-	ids := make([]string, 0, len(l.entries)+len(l.lapsed))
-	for id := range l.entries {
-		ids = append(ids, id)
-	}
-	for id := range l.lapsed {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
 // Apply applies changes up to a position, in order. It ignores changes older than those
 // already applied, and those of another era than the list.
 func (l *Lister) Apply(changes []Change, position Position, now time.Time) {
--- a/internal/fleet/lister/restore_test.go
+++ b/internal/fleet/lister/restore_test.go
@@ -46,6 +46,9 @@
 	l.Replace(newServers("a", "b", "c", "d"), Position{Era: 1, Revision: 900}, testStart)
 	l.Replace(newServers("a", "b", "c"), Position{Era: 2, Revision: 40}, testStart)
 	c.Assert(getIDs(l), qt.DeepEquals, []string{"a", "b", "c", "d"})
+	// The list comes again, read from the store after it was taken from a peer.
+	l.Replace(newServers("a", "b", "c"), Position{Era: 2, Revision: 40}, testStart)
+	c.Assert(getIDs(l), qt.DeepEquals, []string{"a", "b", "c", "d"})
 	l.Apply([]Change{{Server: Server{ID: "d", Revision: 41}}}, Position{Era: 2, Revision: 41}, testStart.Add(time.Second))
 	l.Expire(testStart.Add(lapseGrace))
 	c.Assert(getIDs(l), qt.DeepEquals, []string{"a", "b", "c", "d"})
