Group: a map sent ahead is an operation of its own

A sidecar of the build before does not know the flag and would have its engine prepare the map, also while another leader's map may be about to be armed, when the ranks must keep that one (rule 3 of the protocol). During an upgrade a pass could have begun under two maps.

Change: the operation is "keep", which an older sidecar refuses. It is then sent the changes, as before.

Test: TestMapSentAheadIsNotPrepared.

--- a/internal/group/messenger/codec.go
+++ b/internal/group/messenger/codec.go
@@ -16,6 +16,7 @@
 // Names of the orders on the wire.
 const (
 	operationPrepare = "prepare"
+	operationKeep    = "keep"
 	operationArm     = "arm"
 	operationDisarm  = "disarm"
 	operationHold    = "hold"
--- a/internal/group/messenger/messenger.go
+++ b/internal/group/messenger/messenger.go
@@ -224,7 +224,7 @@
 		m.sentCounts.encode(state, kind.EngineQuery.GetKnownCounts())
 		return state, nil
 	case *encoder.Open_EngineOrder:
-		if kind.EngineOrder.GetKeepOnly() {
+		if kind.EngineOrder.GetOperation() == operationKeep {
 			return newResult(m.keep(ctx, kind.EngineOrder)), nil
 		}
 		d, err := decodeOrder(kind.EngineOrder, m.received)
--- a/internal/group/messenger/relay.go
+++ b/internal/group/messenger/relay.go
@@ -39,7 +39,7 @@
 		// Without a base the map is too large to be sent ahead.
 		return
 	}
-	order.KeepOnly = true
+	order.Operation = operationKeep
 	n := int(math.Sqrt(float64(len(engines))))
 	m.sendAhead(ctx, order, groupByRelay(engines, n), announceTimeoutPerRank*time.Duration(2*n))
 	m.mu.Lock()
@@ -104,7 +104,7 @@
 func copyOrder(m *encoder.EngineOrder) *encoder.EngineOrder {
 	return &encoder.EngineOrder{
 		Operation: m.GetOperation(), Epoch: m.GetEpoch(), Version: m.GetVersion(), BaseVersion: m.GetBaseVersion(), Changes: m.GetChanges(),
-		Digest: m.GetDigest(), LayerSets: m.GetLayerSets(), Ranks: m.GetRanks(), Experts: m.GetExperts(), KeepOnly: true,
+		Digest: m.GetDigest(), LayerSets: m.GetLayerSets(), Ranks: m.GetRanks(), Experts: m.GetExperts(),
 	}
 }
 
@@ -126,9 +126,11 @@
 
 // keep stores a map that was sent ahead and passes it on.
 func (m *Messenger) keep(ctx context.Context, order *encoder.EngineOrder) error {
-	if _, err := decodeOrder(order, m.received); err != nil {
+	p, err := decodePlacement(order, m.received)
+	if err != nil {
 		return err
 	}
+	m.received.add(order.GetVersion(), p)
 	m.passOn(ctx, order, order.GetRelayTo())
 	return nil
 }
--- a/internal/group/messenger/relay_test.go
+++ b/internal/group/messenger/relay_test.go
@@ -142,6 +142,23 @@
 	}
 }
 
+// TestMapSentAheadIsNotPrepared guards against an engine that prepares a map before the first
+// rank has decided between two leaders, also beside a sidecar of an older build.
+func TestMapSentAheadIsNotPrepared(t *testing.T) {
+	c := qt.New(t)
+	n, addrs := newNetwork(30)
+	base := shifter.Initial(1, 60, 30)
+	order := commander.Prepare{Version: 5, Placement: base, Base: base}
+	n.messengers[addrs[0]].Announce(c.Context(), addrs, order, 1)
+	for _, addr := range addrs {
+		c.Assert(n.engines[addr].placement, qt.IsNil)
+		c.Assert(addr == addrs[0] || n.messengers[addr].received.get(5) != nil, qt.IsTrue)
+	}
+	// What an older build does with the message: it knows no such operation.
+	_, err := decodeOrder(&encoder.EngineOrder{Operation: operationKeep, Version: 5}, newPlacementCache())
+	c.Assert(err, qt.IsNotNil)
+}
+
 // TestInitialMapNeedsNoTransfer guards against a whole map for each rank at the first change
 // of a group, since no rank has been sent the map that it begins with.
 func TestInitialMapNeedsNoTransfer(t *testing.T) {
