Gateway: the line of a lost server names the shared parts of the prompt and the events sent

Question: which requests are lost in a crash, and how far had their answers come? No change of logic.

--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -141,6 +141,7 @@
 		}
 		if err == nil && !skip && hasData(event) {
 			// A comment is no progress of the stream.
+			x.attemptEvents++
 			x.extendEventDeadline(time.Now())
 			err = a.conn.SetReadDeadline(x.eventDeadline)
 		}
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -109,6 +109,7 @@
 	}
 	x.attempts++
 	x.sentAt = time.Now()
+	x.attemptEvents = 0
 	x.tried = append(x.tried, p.ID)
 	req := x.newRequest(p)
 	if err := x.writeRequest(conn, req); err != nil {
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -37,6 +37,9 @@
 	EstimatedAnswerTokens int
 	// LastEventID is the number of the last event that the caller has, 0 for none.
 	LastEventID int
+	// SharedParts are the IDs of the parts of the prompt that other requests may have too, in
+	// the order of the prompt.
+	SharedParts []uint64
 }
 
 // Outbound holds what the gateway adds to the caller's headers for a backend server.
@@ -162,6 +165,8 @@
 	// attempts counts how often the request was sent to a server, sentAt is when it last was.
 	attempts int
 	sentAt   time.Time
+	// attemptEvents counts the events with data of the latest attempt.
+	attemptEvents int
 	// lastEvent is the number of the last relayed event.
 	lastEvent int
 	// unnumbered is set once an event with data but no number was relayed. Such a stream
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -256,7 +256,8 @@
 	}
 	n := x.quarantine.AddLoss(x.digest, quarantiner.NewServer(p.ID, p.Started), x.sentAt, time.Now(), opts...)
 	losses.Inc()
-	log.Warn("backend server lost while it had the request", "event", "crash", "request", x.ID, "server", p.ID, "digest", x.digest, "crashes", n)
+	log.Warn("backend server lost while it had the request", "event", "crash", "request", x.ID, "server", p.ID, "digest", x.digest, "crashes", n,
+		"shared_parts", x.SharedParts, "events", x.attemptEvents, "after", time.Since(x.sentAt))
 }
 
 // addServed records that a server has run the request and answered.
