Gateway: a repeated rejection is no answer to the next request

Report of other operators: a faulty runner wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of requests that ran. Here a rejection with the ID of its request is discarded, but one without an ID was taken for the answer to the next request on the connection: an order that was running was answered 503.

A connection is no longer kept after a rejection without an ID, so that there is no next request. Looked at and not taken: to distrust such a rejection on any kept connection, which answered a truthful one 504 after the deadline.

TestRepeatedRefusalIsNoAnswerToNextRequest: 3 of 4 cases red before, green after.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -152,7 +152,9 @@
 	switch {
 	case a.NotRun:
 		out := &notRun{Answer: a.Answer, status: a.resp.StatusCode}
-		a.release(x.discardRejection(a) == nil, x.pool)
+		// Once more on a kept connection, a rejection without an ID would be taken for the
+		// answer to the next request.
+		a.release(x.discardRejection(a) == nil && a.RequestID != "", x.pool)
 		return out
 	case !a.Signed && a.resp.StatusCode < http.StatusBadRequest:
 		a.release(false, x.pool)
