Gateway: servers that leave or want a pause, by their own answers

One place in the placer says why a server is closed (leaving in the list, leaving by its answer, paused, returning from a pause), for each incarnation; choosing, resuming, retrying, the last check before a request is written and the pool's connections ask it.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -54,6 +55,7 @@
 	errUnsigned    = errors.New("answer is not signed by a backend server")
 	errUnmarked    = errors.New("status says not run, but the server did not mark the answer so")
 	errStrayAnswer = errors.New("answer belongs to another request")
+	errClosed      = errors.New("backend server takes no requests any more")
 )
 
 // maxStrayAnswers is the number of late answers to other requests that are skipped on
@@ -100,6 +102,11 @@
 	if err != nil {
 		return &notSent{err: err}
 	}
+	if reason := p.GetClosedReason(time.Now()); reason != "" {
+		// Another answer has closed the server since the request was placed.
+		x.pool.Put(conn)
+		return &notSent{err: wrapper.At("check_server", p.ID, fmt.Errorf("%w: %s", errClosed, reason))}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Abort() })
 	maySend := !x.mayHaveRun || x.route.IsRepeatable()
 	if err := asserter.Holds(maySend, asserter.RuleOnce, "request %s again, to %s", x.ID, p.ID); err != nil {
@@ -120,7 +127,7 @@
 	err = x.awaitAnswer(conn)
 	var a *answered
 	if err == nil {
-		a, err = x.readHead(conn, req)
+		a, err = x.readHead(conn, req, p)
 	}
 	if err != nil {
 		stop()
@@ -248,9 +255,24 @@
 // first byte before another server is tried, as a multiple of the route's objective.
 const maxSilentObjectives = 3
 
+// recordWishes records whether the server leaves or wants a pause, which any of its answers may
+// say, also a late or an interim one.
+func (x *exchange) recordWishes(a *answered, p *placer.Placed) {
+	if a.resp.StatusCode == http.StatusMisdirectedRequest {
+		// Another server has this address now.
+		return
+	}
+	if a.Leaving {
+		x.placer.SetLeaving(p.Server, time.Now())
+	}
+	if a.Pause > 0 {
+		x.placer.SetPause(p.Server, a.Pause, time.Now())
+	}
+}
+
 // readHead reads the head of this request's answer. It skips late answers to other
 // requests on the connection.
-func (x *exchange) readHead(conn *dialer.Conn, req *http.Request) (*answered, error) {
+func (x *exchange) readHead(conn *dialer.Conn, req *http.Request, p *placer.Placed) (*answered, error) {
 	for range maxStrayAnswers + 1 {
 		resp, err := conn.ReadAnswer(req) //nolint:bodyclose // the body ends with the connection
 		if errors.Is(err, limiter.ErrTooLarge) {
@@ -259,10 +281,11 @@
 		if err != nil {
 			return nil, err
 		}
+		a := &answered{Answer: x.codec.DecodeAnswer(resp.StatusCode, resp.Header), resp: resp, conn: conn}
+		x.recordWishes(a, p)
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		a := &answered{Answer: x.codec.DecodeAnswer(resp.StatusCode, resp.Header), resp: resp, conn: conn}
 		if a.RequestID == x.ID || a.RequestID == "" && a.NotRun {
 			return a, nil
 		}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -74,6 +74,10 @@
 	// nothing.
 	KeepAlive time.Duration
 	Load      *ServerLoad
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
+	// Pause is how long the server wants no requests of this gateway, 0 if it said nothing.
+	Pause time.Duration
 }
 
 // Codec decodes and encodes the headers of a platform.
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -50,6 +50,16 @@
 	body []byte
 }
 
+// orRefused returns the failure, or the refusal if there was no failure before or if the
+// refusal knows better when the caller may return.
+func (f failure) orRefused(r *placer.Refused) failure {
+	isRefusal := f.buffered == nil && f.status == http.StatusServiceUnavailable
+	if f.status == 0 || r.AllClosed && isRefusal {
+		return failure{status: http.StatusServiceUnavailable, reason: r.Reason, retryAfter: r.RetryAfter}
+	}
+	return f
+}
+
 func (done) nextAction()  {}
 func (retry) nextAction() {}
 
@@ -66,10 +76,7 @@
 		}
 		switch v := x.placer.Place(x.newWork(), time.Now()).(type) {
 		case *placer.Refused:
-			if lastFailure.status == 0 {
-				lastFailure = failure{status: http.StatusServiceUnavailable, reason: v.Reason, retryAfter: v.RetryAfter}
-			}
-			x.answerFailure(ctx, lastFailure)
+			x.answerFailure(ctx, lastFailure.orRefused(v))
 			return
 		case *placer.Placed:
 			x.placed = v
@@ -82,7 +89,7 @@
 			if !action.sent {
 				unsentAttempts++
 			}
-			if x.r.Context().Err() != nil || x.isEventOverdue(time.Now()) || unsentAttempts > maxUnsentRetries || x.isBlocked() || action.sent && !x.takeRetry() {
+			if unsentAttempts > maxUnsentRetries || x.mustEnd() || action.sent && !x.takeRetry() {
 				x.answerFailure(ctx, lastFailure)
 				return
 			}
@@ -90,6 +97,11 @@
 	}
 }
 
+// mustEnd reports whether no further attempt would serve the caller.
+func (x *exchange) mustEnd() bool {
+	return x.r.Context().Err() != nil || x.isEventOverdue(time.Now()) || x.isBlocked()
+}
+
 // isBlocked reports whether the request was blocked since it was admitted. A trial goes on
 // until a server may have run it.
 func (x *exchange) isBlocked() bool {
@@ -166,6 +178,10 @@
 			p.Finish(placer.Cancelled, time.Now())
 			return retry{fallback: failure{status: http.StatusBadGateway, reason: "caller left"}, sent: true}
 		}
+		if errors.Is(out.err, errClosed) {
+			p.Finish(placer.Cancelled, time.Now())
+			return retry{fallback: failure{status: http.StatusServiceUnavailable, reason: errClosed.Error(), retryAfter: failureRetryAfter}}
+		}
 		p.Finish(placer.Unreachable, time.Now())
 		x.tried = append(x.tried, p.ID)
 		return retry{fallback: failure{status: http.StatusServiceUnavailable, reason: "backend server can't be reached", retryAfter: failureRetryAfter}}
--- a/internal/gateway/placer/metrics.go
+++ b/internal/gateway/placer/metrics.go
@@ -9,6 +9,9 @@
 var (
 	ejections = metrics.NewCounter("siskinfall_gateway_ejections_total")
 	outages   = metrics.NewCounter("siskinfall_gateway_outages_total")
+	// leavingServers and serverPauses count what servers said in their answers.
+	leavingServers = metrics.NewCounter("siskinfall_gateway_servers_leaving_total")
+	serverPauses   = metrics.NewCounter("siskinfall_gateway_server_pauses_total")
 )
 
 // countPlaced and countRefused count decisions by service. The label values are
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -93,6 +93,8 @@
 	Reason string
 	// RetryAfter is the expected time until a server has capacity again.
 	RetryAfter time.Duration
+	// AllClosed is set if servers have said, each of its own, when they take requests again.
+	AllClosed bool
 }
 
 func (*Placed) decision()  {}
@@ -160,6 +162,9 @@
 	// because one of them rejected work although it had free slots.
 	stalledUntil   map[string]time.Time
 	callersByRoute map[string]*callerStats
+	// closures holds what servers have said of themselves. It outlasts their entries in the
+	// list.
+	closures map[incarnation]*closure
 	// gatewayCount is the number of gateways that place requests at the same
 	// servers, including this one.
 	gatewayCount int
@@ -170,7 +175,7 @@
 	return &Placer{
 		servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine),
 		outages: make(map[string]*outage), groups: make(map[string]*group), callersByRoute: make(map[string]*callerStats),
-		stalledUntil: make(map[string]time.Time), gatewayCount: 1,
+		stalledUntil: make(map[string]time.Time), closures: make(map[incarnation]*closure), gatewayCount: 1,
 	}
 }
 
@@ -248,7 +253,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.byService[service] {
-		if !slices.Contains(tried, s.ID) {
+		if !slices.Contains(tried, s.ID) && p.closedReason(s, time.Now()) == notClosed {
 			return true
 		}
 	}
@@ -260,7 +265,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[id]
-	return s != nil && !s.Leaving
+	if s == nil {
+		return false
+	}
+	r := p.closedReason(s, time.Now())
+	return r != listedLeaving && r != saysLeaving
 }
 
 // IsRunning reports whether a service has a server whose group is neither broken
@@ -269,7 +278,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.byService[service] {
-		if broken, stalled := p.groupState(s, now); !broken && !stalled {
+		if broken, stalled := p.groupState(s, now); !broken && !stalled && p.closedReason(s, now) == notClosed {
 			return true
 		}
 	}
@@ -291,6 +300,9 @@
 func (p *Placer) decide(w Work, isClientRetry bool, now time.Time) Decision {
 	best := p.pick(w, now)
 	if best == nil {
+		if r := p.checkClosed(w, now); r != nil {
+			return r
+		}
 		return &Refused{Reason: "no backend server", RetryAfter: w.capRetryAfter(defaultRetryAfter, now)}
 	}
 	if r := p.checkOutage(best, w, now); r != nil {
@@ -299,11 +311,18 @@
 	if r := p.checkCapacity(best, w, isClientRetry, now); r != nil {
 		return r
 	}
-	if asserter.Holds(!best.Leaving, asserter.RuleNoNewWork, "%s is leaving", best.ID) != nil {
-		return &Refused{Reason: "backend server is leaving", RetryAfter: w.capRetryAfter(defaultRetryAfter, now)}
+	return p.assign(best, w, now)
+}
+
+// assign places a request on a server, which must be open.
+func (p *Placer) assign(best *server, w Work, now time.Time) Decision {
+	reason := p.closedReason(best, now)
+	if asserter.Holds(reason == notClosed, asserter.RuleNoNewWork, "%s is closed: %s", best.ID, reason) != nil {
+		return &Refused{Reason: "backend server is closed", RetryAfter: w.capRetryAfter(defaultRetryAfter, now)}
 	}
 	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), ServerCount: len(p.byService[w.Service]), Reported: best.load.At, decided: now, server: best, placer: p}
 	best.inFlight++
+	p.recordPlaced(best)
 	best.deltaSinceReport++
 	countPlaced(w.Service)
 	return placed
@@ -318,6 +337,7 @@
 	s.deltaSinceReport--
 	s.record(outcome, now)
 	p.placer.recordEngineOutcome(s, p.Estimate, outcome, now)
+	p.placer.recordReturn(s, outcome, now)
 	if now.Before(s.ejectedUntil) {
 		ejections.Inc()
 		log.Info("backend server ejected", "event", "ejected", "server", s.ID, "failures", s.failures, "outcome", outcome.String(),
--- a/internal/gateway/placer/score.go
+++ b/internal/gateway/placer/score.go
@@ -112,7 +112,7 @@
 func (p *Placer) pick(w Work, now time.Time) *server {
 	all := p.byService[w.Service]
 	if p.engines[w.Service] != nil && p.gatewayCount > 1 {
-		if best, score := p.pickLowest(p.sample(all, w), w, now); best != nil && score < overdueScore && best.estimate(now) < best.Slots {
+		if best, score := p.pickLowest(p.sample(all, w, now), w, now); best != nil && score < overdueScore && best.estimate(now) < best.Slots {
 			return best
 		}
 	}
@@ -141,14 +141,14 @@
 }
 
 // sample returns randomly chosen servers that are not slow and were not tried.
-func (p *Placer) sample(all []*server, w Work) []*server {
+func (p *Placer) sample(all []*server, w Work, now time.Time) []*server {
 	n := max(len(all)/p.gatewayCount, minSampledEngines)
 	out := make([]*server, 0, n)
 	for _, i := range rand.Perm(len(all)) {
 		if len(out) == n {
 			break
 		}
-		if all[i].load.Slowness <= maxHealthySlowness && !slices.Contains(w.Exclude, all[i].ID) {
+		if all[i].load.Slowness <= maxHealthySlowness && !slices.Contains(w.Exclude, all[i].ID) && p.closedReason(all[i], now) == notClosed {
 			out = append(out, all[i])
 		}
 	}
@@ -161,7 +161,7 @@
 	var best *server
 	bestScore, ties := 0.0, 0
 	for _, s := range list {
-		if slices.Contains(w.Exclude, s.ID) {
+		if slices.Contains(w.Exclude, s.ID) || p.closedReason(s, now) != notClosed {
 			continue
 		}
 		score := p.score(s, w, now)
