--- a/internal/gateway/forwarder/invariant_test.go
+++ b/internal/gateway/forwarder/invariant_test.go
@@ -138,7 +138,9 @@
 	addr, bytesRead := listen(c)
 	x, _ := newExchange(t, holder.NonIdempotent)
 	x.mayHaveRun = true
-	p := &placer.Placed{Server: lister.Server{ID: "i-1", Service: "desk", Addr: addr}}
+	x.placer.SetServers([]lister.Server{{ID: "i-1", Service: "desk", Addr: addr, Slots: 1}})
+	p, ok := x.placer.Place(x.newWork(), time.Now()).(*placer.Placed)
+	c.Assert(ok, qt.IsTrue)
 	c.Assert(violatesOnce(func() {
 		_, wasNotSent := x.attempt(c.Context(), p).(*notSent)
 		c.Assert(wasNotSent, qt.IsTrue)
