Gateway: a server that refuses everything draws no more requests

Cause: a rejection left no trace. A server that answers in a millisecond has the lowest estimate, so it got the next request too, and the retries used up the budget. Class: the speed of a failure taken for room.

A rejection now counts into the failure rate of a plain server; one with free slots, as far as known, ejects it the second time in a row, for 0.5 s and up to 4 s. Engines are left out: they reject while their group stands still.

--- a/internal/gateway/placer/closure_test.go
+++ b/internal/gateway/placer/closure_test.go
@@ -74,3 +74,38 @@
 	}
 	c.Assert(open >= s.Slots, qt.IsTrue, qt.Commentf("%d requests", open))
 }
+
+// TestServerThatRefusesAllGetsFewRequests guards against quick refusals that draw more
+// requests to the server that refuses.
+func TestServerThatRefusesAllGetsFewRequests(t *testing.T) {
+	c := qt.New(t)
+	p := newPlainPlacer(3)
+	refusing := p.byService["desk"][0].ID
+	const callers, serviceTime, refusalTime = 6, 10 * time.Millisecond, time.Millisecond
+	busy := make([]*Placed, callers)
+	until := make([]time.Time, callers)
+	refusals, total := 0, 0
+	for now := start; now.Before(start.Add(6 * time.Second)); now = now.Add(time.Millisecond) {
+		for i, placed := range busy {
+			if placed != nil && now.Before(until[i]) {
+				continue
+			}
+			if placed != nil {
+				outcome := Served
+				if placed.ID == refusing {
+					outcome = Rejected
+					refusals++
+				}
+				placed.Finish(outcome, now)
+				total++
+			}
+			busy[i] = place(p, now)
+			c.Assert(busy[i], qt.Not(qt.IsNil))
+			until[i] = now.Add(serviceTime)
+			if busy[i].ID == refusing {
+				until[i] = now.Add(refusalTime)
+			}
+		}
+	}
+	c.Assert(refusals*10 <= total, qt.IsTrue, qt.Commentf("%d of %d requests were refused", refusals, total))
+}
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -336,6 +336,10 @@
 	s.inFlight--
 	s.deltaSinceReport--
 	s.record(outcome, now)
+	if outcome == Rejected && p.placer.engines[s.Service] == nil {
+		// Engines reject work while their group stands still, which says nothing of the rank.
+		s.recordRejection(p.Estimate, now)
+	}
 	p.placer.recordEngineOutcome(s, p.Estimate, outcome, now)
 	p.placer.recordReturn(s, outcome, now)
 	if now.Before(s.ejectedUntil) {
--- a/internal/gateway/placer/score.go
+++ b/internal/gateway/placer/score.go
@@ -55,6 +55,8 @@
 type health struct {
 	// failures counts consecutive requests that were lost or could not be sent.
 	failures int
+	// rejections counts consecutive rejections while slots seemed free.
+	rejections int
 	// ejectedUntil is the end of the last ejection, ejection its duration. The
 	// duration is reset by a served request.
 	ejectedUntil time.Time
@@ -68,7 +70,7 @@
 func (h *health) record(outcome Outcome, now time.Time) {
 	switch outcome {
 	case Served:
-		h.failures, h.ejection = 0, 0
+		h.failures, h.rejections, h.ejection = 0, 0, 0
 		h.addSample(0, now)
 	case Failed:
 		h.failures = 0
@@ -86,6 +88,21 @@
 	}
 }
 
+// recordRejection updates the health of a plain server that has rejected a request beside a
+// number of others. A quick rejection makes a server look idle, and would draw the next
+// request. One that rejects with free slots, several times in a row, is ejected like a server
+// that is lost: it does not tell when it has room.
+func (s *server) recordRejection(others int, now time.Time) {
+	s.addSample(1, now)
+	if others >= s.Slots {
+		return
+	}
+	s.rejections++
+	if s.rejections >= ejectAfterFailures {
+		s.eject(now)
+	}
+}
+
 func (h *health) addSample(failed float64, now time.Time) {
 	h.ewma = h.failureRate(now)
 	h.ewma += failureRateWeight * (failed - h.ewma)
