--- a/internal/gateway/placer/closure_test.go
+++ b/internal/gateway/placer/closure_test.go
@@ -109,3 +109,15 @@
 	}
 	c.Assert(refusals*10 <= total, qt.IsTrue, qt.Commentf("%d of %d requests were refused", refusals, total))
 }
+
+// BenchmarkPlace places and finishes one request among 60 servers.
+func BenchmarkPlace(b *testing.B) {
+	p := newPlainPlacer(60)
+	for b.Loop() {
+		placed, ok := p.Place(deskWork(start), start).(*Placed)
+		if !ok {
+			b.Fatal("refused")
+		}
+		placed.Finish(Served, start)
+	}
+}
--- a/internal/gateway/quarantiner/part_test.go
+++ b/internal/gateway/quarantiner/part_test.go
@@ -264,3 +264,19 @@
 	}
 	c.Assert(s.Admit(0, now, 7), qt.Equals, Clear)
 }
+
+// BenchmarkAdmitParts is BenchmarkAdmit for a request with three shared parts, that then is
+// served.
+func BenchmarkAdmitParts(b *testing.B) {
+	s := New(1)
+	for i := range uint64(500) {
+		s.AddPartLosses([]uint64{i}, server(int(i)), start)
+	}
+	parts := []uint64{1000, 1001, 1002}
+	for b.Loop() {
+		if s.Admit(999, start, parts...) != Clear {
+			b.Fatal("blocked")
+		}
+		s.AddPartsServed(parts, server(1000), start, start)
+	}
+}
--- a/internal/gateway/quarantiner/quarantiner_test.go
+++ b/internal/gateway/quarantiner/quarantiner_test.go
@@ -284,3 +284,16 @@
 	s.EndTrial(poison, true)
 	c.Assert(s.Admit(poison, due.Add(announceTime+time.Second)), qt.Equals, Clear)
 }
+
+// BenchmarkAdmit admits a request beside 500 that have lost servers.
+func BenchmarkAdmit(b *testing.B) {
+	s := New(1)
+	for i := range uint64(500) {
+		s.AddLoss(i, server(int(i)), start, start)
+	}
+	for b.Loop() {
+		if s.Admit(1000, start) != Clear {
+			b.Fatal("blocked")
+		}
+	}
+}
