Gateway: a sound part is freed once the deadly one explains its crashes

A part whose crashes are all explained by one with a crash more is freed now. TestSoundPartIsFreedWhenAnotherExplainsItsCrashes fails without it.

--- a/internal/gateway/quarantiner/part.go
+++ b/internal/gateway/quarantiner/part.go
@@ -219,6 +219,24 @@
 		culpritParts.Inc()
 		log.Warn("part of prompts crashes backend servers and is blocked", "event", "culprit", "digest", p.digest, "crashes", p.crashes,
 			"share", p.share, "evidence", evidence, "position", p.position)
+		s.acquit(p, now)
+	}
+}
+
+// acquit frees the parts that were convicted for some of the crashes of another one, which
+// explains them all.
+func (s *Set) acquit(p suspect, now time.Time) {
+	servers := make(map[Server]bool)
+	for server := range p.getLostServers(now) {
+		servers[server] = true
+	}
+	for digest, e := range s.entries {
+		if e.position == 0 || !e.isConvicted(now) || len(e.getLostServers(now)) >= len(servers) || !e.isExplainedBy(servers, now) {
+			continue
+		}
+		e.trial = nil
+		e.explain(now)
+		log.Info("part of prompts is no longer blocked: another one explains its crashes", "event", "explained", "digest", digest, "culprit", p.digest)
 	}
 }
 
--- a/internal/gateway/quarantiner/part_test.go
+++ b/internal/gateway/quarantiner/part_test.go
@@ -280,3 +280,32 @@
 		s.AddPartsServed(parts, server(1000), start, start)
 	}
 }
+
+// TestSoundPartIsFreedWhenAnotherExplainsItsCrashes guards against a sound part that stays
+// blocked because it was there by chance in the first crashes, in place of the deadly one.
+func TestSoundPartIsFreedWhenAnotherExplainsItsCrashes(t *testing.T) {
+	c := qt.New(t)
+	const sound, deadly = 7, 8
+	s, other := New(1), New(2)
+	now := start
+	for range 100 {
+		s.Admit(0, now, 99)
+	}
+	s.Admit(0, now, sound)
+	for i := range 3 {
+		for range 2 {
+			s.Admit(0, now, deadly)
+		}
+		if i < minPartCrashes {
+			s.AddPartLosses([]uint64{sound}, server(i), now, InGroup())
+		}
+		s.AddPartLosses([]uint64{deadly}, server(i), now, InGroup())
+		exchange(s, other, now)
+		now = now.Add(groupReturn)
+		c.Assert(s.Admit(0, now, sound) == Blocked, qt.Equals, i == 1)
+	}
+	for _, gateway := range []*Set{s, other} {
+		c.Assert(gateway.Admit(0, now, sound), qt.Equals, Clear)
+		c.Assert(gateway.Admit(0, now, deadly), qt.Equals, Blocked)
+	}
+}
