Gateway: crashes in quick succession count against a part, and fresh gateways convict

Two causes, from its logs: servers lost within a second counted as one crash, though retries of one request ended three in half a second; and gateways that had just started took the part's share of their few prompts for 0.25 and did not convict it.

Only servers lost within 50 ms of each other are one crash now, and from the fourth crash on less evidence is needed.

--- a/internal/gateway/quarantiner/part.go
+++ b/internal/gateway/quarantiner/part.go
@@ -24,6 +24,14 @@
 	// minPartEvidence is the evidence that convicts a part, as a natural logarithm: for one
 	// innocent suspect in twenty, chance looks like that.
 	minPartEvidence = 3.0
+	// From lateCrashes on, minLateEvidence convicts a part. A gateway that has started lately
+	// knows shares badly; by then a deadly part costs more than a sound one that is blocked
+	// until its trial.
+	lateCrashes     = 4
+	minLateEvidence = 1.0
+	// commonCrashTime is the time within which servers that are lost have one cause, such as the
+	// loss of a rack. A retry of a request reaches its next server later.
+	commonCrashTime = 50 * time.Millisecond
 	// beginningRequests is the usual number of requests that begin on a server at the time of
 	// its crash.
 	beginningRequests = 2.0
@@ -146,8 +154,8 @@
 	return servers
 }
 
-// countPartCrashes returns the number of crashes of a part. Servers that are lost at the same
-// time may have one cause, such as the loss of a rack.
+// countPartCrashes returns the number of crashes of a part. Servers that are lost within
+// commonCrashTime are one crash.
 func (e *entry) countPartCrashes(now time.Time) int {
 	times := make([]time.Time, 0, len(e.losses))
 	for _, at := range e.getLostServers(now) {
@@ -157,7 +165,7 @@
 	n := 0
 	var first time.Time
 	for _, at := range times {
-		if n == 0 || at.Sub(first) > restartTime {
+		if n == 0 || at.Sub(first) > commonCrashTime {
 			n++
 			first = at
 		}
@@ -180,6 +188,14 @@
 	return float64(p.crashes)*present + p.share*float64(s.answered-p.answeredBefore)
 }
 
+// getMinEvidence returns the evidence that convicts a part after its crashes.
+func (p suspect) getMinEvidence() float64 {
+	if p.crashes >= lateCrashes {
+		return minLateEvidence
+	}
+	return minPartEvidence
+}
+
 // convict takes the parts with enough evidence for the cause of their crashes. Of two that
 // were there in the same crashes, it is the rarer one, or else the one further back in the
 // prompt: the other one is in sound requests too.
@@ -207,7 +223,7 @@
 	})
 	for _, p := range suspects {
 		evidence := s.getEvidence(p)
-		if evidence < minPartEvidence || p.isExplainedBy(explained, now) {
+		if evidence < p.getMinEvidence() || p.isExplainedBy(explained, now) {
 			continue
 		}
 		explain(p.entry)
