--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -162,8 +162,8 @@
 	// because one of them rejected work although it had free slots.
 	stalledUntil   map[string]time.Time
 	callersByRoute map[string]*callerStats
-	// closures holds what servers have said of themselves. It outlasts their entries in the
-	// list.
+	// closures holds the servers that have said that they leave or want a pause. It outlasts
+	// their entries in the list.
 	closures map[incarnation]*closure
 	// gatewayCount is the number of gateways that place requests at the same
 	// servers, including this one.
