Processes: a SIGHUP at the start or the end of a process does not end it

Cause, as old as the reload: SIGHUP is caught by a task that begins after the process has logged its start and ends with the other tasks; before and after that the signal's default ends the process, and callers lose what it has in flight.

A SIGHUP is caught from the first line of the process to its end now. TestReloadOutsideRunDoesNotEndProcess: 'signal: hangup' before, green after. A test of a real gateway under a flood of SIGHUP, tried first, was green on the old code and is not kept.

--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -52,6 +52,9 @@
 	forced, forceStop := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	// logReloads listens only while the process runs. A SIGHUP before or after that must not
+	// end it.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	go func() {
 		<-signals
 		beginStop()
