--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,8 @@
 	// tokens is the length of the answer of a stream.
 	tokens  int
 	timeout time.Duration
+	// expect is the ID of the engine that the request is sent to directly, empty for others.
+	expect string
 }
 
 // outcome is what a caller got.
@@ -29,13 +32,16 @@
 	body   string
 	// err is set if the answer is missing or not whole.
 	err error
+	// longestGap is the longest time between two parts of the body, endGap that between the
+	// last part and the end.
+	longestGap, endGap time.Duration
 }
 
 func (o outcome) String() string {
 	if o.err != nil {
 		return fmt.Sprintf("status %d, %d bytes, then %v", o.status, len(o.body), o.err)
 	}
-	return fmt.Sprintf("status %d, whole, %d bytes", o.status, len(o.body))
+	return fmt.Sprintf("status %d, whole, %d bytes, longest gap %v", o.status, len(o.body), o.longestGap.Round(time.Millisecond))
 }
 
 // connect opens a connection to a gateway.
@@ -53,6 +59,9 @@
 	if c.tokens > 0 {
 		head += fmt.Sprintf("X-Model: m\r\nX-Token-Counts: 700,%d\r\nX-Prompt-Prefix: 5c1e07a2:40,%x:660\r\n", c.tokens, len(c.id)*7919+int(c.id[len(c.id)-1]))
 	}
+	if c.expect != "" {
+		head += fmt.Sprintf("X-Expect-Instance: %s\r\n", c.expect)
+	}
 	body := ""
 	if c.method == http.MethodPost {
 		body = "work of " + c.id
@@ -67,8 +76,30 @@
 	if err != nil {
 		return f.end(c, outcome{err: err})
 	}
-	data, err := io.ReadAll(resp.Body)
-	return f.end(c, outcome{status: resp.StatusCode, header: resp.Header, body: string(data), err: err})
+	o := outcome{status: resp.StatusCode, header: resp.Header}
+	o.readBody(resp.Body)
+	return f.end(c, o)
+}
+
+// readBody reads the body and measures its gaps.
+func (o *outcome) readBody(body io.Reader) {
+	last := time.Now()
+	buf := make([]byte, 4096)
+	for {
+		n, err := body.Read(buf)
+		gap := time.Since(last)
+		if n > 0 {
+			o.body += string(buf[:n])
+			o.longestGap, last = max(o.longestGap, gap), time.Now()
+		}
+		if err != nil {
+			o.endGap = gap
+			if !errors.Is(err, io.EOF) {
+				o.err = err
+			}
+			return
+		}
+	}
 }
 
 func (f *fleet) end(c call, o outcome) outcome {
@@ -76,6 +107,17 @@
 	return o
 }
 
+// doDirect sends a request to an engine.
+func (f *fleet) doDirect(r *rank, c call) outcome {
+	conn, err := net.DialTimeout("tcp", r.addr.String(), time.Second)
+	if err != nil {
+		return f.end(c, outcome{err: err})
+	}
+	defer func() { _ = conn.Close() }()
+	c.expect = r.id
+	return f.send(conn, c)
+}
+
 // do sends a request on a new connection.
 func (f *fleet) do(gateway int, c call) outcome {
 	conn, err := f.connect(gateway)
--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -48,10 +48,19 @@
 	onCarriedOut func(r *rank, o order, status int)
 	// ran holds the requests that a rank has run.
 	ran map[string]bool
+	// preemptions holds, by request, the number of the event before which a request is
+	// preempted once, and for how long.
+	preemptions map[string]preemption
 	// broken is set once a pass has begun under two maps.
 	broken string
 }
 
+// preemption is a request's loss of its place in a rank's memory.
+type preemption struct {
+	beforeEvent int
+	length      time.Duration
+}
+
 // fate is what becomes of an order that arrives.
 type fate int
 
@@ -119,12 +128,14 @@
 	events, next int
 	// begun is set after the pass that reads the prompt.
 	begun bool
-	out   chan int
-	gone  bool
+	// resumeAt is until when the request is preempted, zero if it is not.
+	resumeAt time.Time
+	out      chan int
+	gone     bool
 }
 
 func newGroup(f *fleet) (*group, error) {
-	g := &group{fleet: f, epoch: 1, born: time.Now().UnixMilli(), ran: make(map[string]bool)}
+	g := &group{fleet: f, epoch: 1, born: time.Now().UnixMilli(), ran: make(map[string]bool), preemptions: make(map[string]preemption)}
 	g.work = sync.NewCond(&g.mu)
 	for i := range rankCount {
 		ln, err := net.Listen("tcp", f.addr(rankBlock, i, 0).String())
@@ -214,12 +225,16 @@
 			switch {
 			case q.gone:
 				continue
+			case time.Now().Before(q.resumeAt):
+				// A preempted request makes no tokens, and its prompt is read again.
+				q.begun = false
 			case !q.begun:
 				q.begun = true
 			default:
 				q.out <- q.next
 				q.next++
 				q.events--
+				r.preempt(q)
 			}
 			if q.events > 0 {
 				kept = append(kept, q)
@@ -231,6 +246,15 @@
 	}
 }
 
+// preempt takes the place of a request if that is due before its next event.
+func (r *rank) preempt(q *generation) {
+	if p, ok := r.preemptions[q.id]; ok && p.beforeEvent == q.next {
+		delete(r.preemptions, q.id)
+		q.resumeAt = time.Now().Add(p.length)
+		r.add("rank %d preempts %s for %v after its event %d", r.i, q.id, p.length, q.next-1)
+	}
+}
+
 // hotExpert is the expert that most tokens choose.
 const hotExpert = 5
 
