--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -21,16 +21,18 @@
 const (
 	gatewayCount = 3
 	rankCount    = 12
-	plainCount   = 3
+	plainCount   = 4
 )
 
 // Names of the catalog.
 const (
 	modelService = "model"
 	plainService = "desk"
-	routeHost    = "h.example"
-	accountName  = "acme"
-	accountKey   = "k-acme-1"
+	// archiveService is a second service of plain servers.
+	archiveService = "archive"
+	routeHost      = "h.example"
+	accountName    = "acme"
+	accountKey     = "k-acme-1"
 )
 
 // Bounds of the deployment, as on the users' sheet.
@@ -156,7 +158,7 @@
 		f.store.put("servers", r.id, f.entry(r.id, modelService, r.addr, rankSlots, f.group.born))
 	}
 	for _, s := range f.plain {
-		f.store.put("servers", s.id, f.entry(s.id, plainService, s.addr, plainSlots, f.group.born))
+		f.store.put("servers", s.id, f.entry(s.id, s.service, s.addr, plainSlots, f.group.born))
 	}
 	go f.beat()
 }
@@ -216,6 +218,7 @@
 				"expert_share": 0.85, "form_ms": 600.0,
 			}},
 			{"name": plainService, "health_path": "/healthz", "max_connections": 51, "protocol": "h1", "tls": false},
+			{"name": archiveService, "health_path": "/healthz", "max_connections": 51, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []map[string]any{{"name": accountName, "api_keys": []string{accountKey}, "priority": 1}},
--- a/review/standin/plain.go
+++ b/review/standin/plain.go
@@ -18,9 +18,10 @@
 // plainServer is a stand-in of a server that is not an engine.
 type plainServer struct {
 	*fleet
-	id   string
-	addr netip.AddrPort
-	mu   sync.Mutex
+	id      string
+	service string
+	addr    netip.AddrPort
+	mu      sync.Mutex
 	// workTime returns how long a request takes.
 	workTime func(r *http.Request) time.Duration
 	// ran lists the requests that it ran.
@@ -35,8 +36,12 @@
 	if err != nil {
 		return nil, err
 	}
+	service := plainService
+	if i == plainCount-1 {
+		service = archiveService
+	}
 	s := &plainServer{
-		fleet: f, id: fmt.Sprintf("i-desk-%d", i), addr: netip.MustParseAddrPort(ln.Addr().String()),
+		fleet: f, id: fmt.Sprintf("i-%s-%d", service, i), service: service, addr: netip.MustParseAddrPort(ln.Addr().String()),
 		workTime: func(*http.Request) time.Duration { return 60 * time.Millisecond },
 	}
 	go func() { _ = http.Serve(ln, http.HandlerFunc(s.serve)) }()
