Review: an entry of another writer moves a server to another service

Looked for entries in the store that name no server to use, and are used.

Each server stand-in of the review now writes its whole entry with each heartbeat.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -47,12 +47,15 @@
 // the store, the engines of one model group, and plain servers.
 type fleet struct {
 	*record
-	trouble  bool
-	dir      string
-	binary   string
-	store    *store
-	group    *group
-	plain    []*plainServer
+	trouble bool
+	dir     string
+	binary  string
+	store   *store
+	group   *group
+	plain   []*plainServer
+	// entries holds the entries of the servers by ID; onBeat is called after each heartbeat.
+	entries  map[string]entry
+	onBeat   func()
 	gateways []*process
 	sidecars []*process
 	// callers and admin are the ports of the gateways, peers that of all processes.
@@ -154,36 +157,48 @@
 // publish writes the first catalog and the entries of all servers.
 func (f *fleet) publish() {
 	f.putCatalog(nil)
+	f.entries = make(map[string]entry)
 	for _, r := range f.group.ranks {
-		f.store.put("servers", r.id, f.entry(r.id, modelService, r.addr, rankSlots, f.group.born))
+		f.entries[r.id] = f.newEntry(modelService, r.addr, rankSlots)
 	}
 	for _, s := range f.plain {
-		f.store.put("servers", s.id, f.entry(s.id, s.service, s.addr, plainSlots, f.group.born))
+		f.entries[s.id] = f.newEntry(s.service, s.addr, plainSlots)
 	}
+	f.writeEntries()
 	go f.beat()
 }
 
-// beatInterval is the heartbeat of the servers; an entry changes with each.
+// beatInterval is the heartbeat of the servers.
 const beatInterval = 1200 * time.Millisecond
 
+// beat has all servers write their entries, with a higher sequence each time.
 func (f *fleet) beat() {
 	for {
 		time.Sleep(beatInterval)
-		for _, r := range f.group.ranks {
-			f.store.touch("servers", r.id)
-		}
-		for _, s := range f.plain {
-			f.store.touch("servers", s.id)
+		f.writeEntries()
+		f.store.mu.Lock()
+		onBeat := f.onBeat
+		f.store.mu.Unlock()
+		if onBeat != nil {
+			onBeat()
 		}
 	}
 }
 
+func (f *fleet) writeEntries() {
+	for id, e := range f.entries {
+		e["sequence"] = e["sequence"].(int) + 1
+		f.store.put("servers", id, e)
+	}
+}
+
+// entry is a server's entry in the store.
 type entry map[string]any
 
-func (f *fleet) entry(id, service string, addr netip.AddrPort, slots int, born int64) entry {
+func (f *fleet) newEntry(service string, addr netip.AddrPort, slots int) entry {
 	return entry{
 		"service": service, "address": addr.String(), "zone": "z-a", "version": "v1", "slots": slots, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": 1, "born": born,
+		"cold_remaining_ms": 0, "sequence": 0, "born": f.group.born,
 	}
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -35,7 +35,6 @@
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
 	Version uint64 `json:"schema_version"`
-	Deleted bool   `json:"deleted,omitempty"`
 }
 
 func newStore(addr netip.AddrPort) (*store, error) {
@@ -63,38 +62,16 @@
 func (s *store) put(table, key string, value any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.putLocked(table, key, mustJSON(value), false)
-}
-
-func (s *store) putLocked(table, key string, value []byte, deleted bool) {
 	s.version++
-	s.rows[rowKey{table, key}] = &storeRow{Table: table, Key: key, Value: value, Version: s.version, Deleted: deleted}
+	s.rows[rowKey{table, key}] = &storeRow{Table: table, Key: key, Value: mustJSON(value), Version: s.version}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// touch increases the sequence of an entry, as a heartbeat that brings a change does.
-func (s *store) touch(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.rows[rowKey{table, key}]
-	if r == nil || r.Deleted {
-		return
-	}
-	var e map[string]any
-	if json.Unmarshal(r.Value, &e) != nil {
-		return
-	}
-	if n, ok := e["sequence"].(float64); ok {
-		e["sequence"] = int64(n) + 1
-	}
-	s.putLocked(table, key, mustJSON(e), false)
-}
-
 func (s *store) serveGet(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(w, r.URL.Query(), func(row *storeRow) bool { return !row.Deleted })
+	s.write(w, r.URL.Query(), func(*storeRow) bool { return true })
 }
 
 func (s *store) serveFeed(w http.ResponseWriter, r *http.Request) {
