--- a/review/standin/maps.go
+++ b/review/standin/maps.go
@@ -24,6 +24,8 @@
 	passesAhead = 2
 	// maxLostArms bounds the orders to arm that get no answer, all of one rank.
 	maxLostArms = 3
+	// repairTime is many rounds of a leader.
+	repairTime = 5 * time.Second
 	// shortEvents is the number of events of the short request without trouble.
 	shortEvents = 2
 )
@@ -98,7 +100,8 @@
 		f.add("the restarted leader did not hold the same pass")
 	}
 	f.serve("last", 8, 8*stride)
-	time.Sleep(time.Second)
+	time.Sleep(repairTime)
+	f.serve("after", 8, 8*stride)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f.add("%d of %d orders were left without an answer", c.unanswered, c.arrived)
