Review: a repeated refusal on another connection passes for an answer

A refusal without an id, written once more on a connection other than its own, is taken for the answer to the next order: the caller is told that the order has not run, and it has.

--- /dev/null
+++ b/review/standin/refusal.go
@@ -0,0 +1,73 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { cases["refusal"] = playRefusal }
+
+const (
+	// crowd is the number of orders at the same time that fill the servers' slots.
+	crowd = 3*plainSlots + 12
+	// minAnswers is the number of answers of a server of which one is spoiled at most.
+	minAnswers = 34
+	// maxLaterOrders bounds the orders that each of three callers sends one after the other.
+	maxLaterOrders = 120
+	orderPause     = 20 * time.Millisecond
+)
+
+// playRefusal fills the servers until they refuse some orders. Later, one server writes the
+// refusal once more on a kept connection, where the answer to the next order is due.
+func playRefusal(f *fleet) (string, error) {
+	time.Sleep(inTouchWindow)
+	faulty := f.plain[0]
+	var isWritten atomic.Bool
+	var outcomes sync.Map
+	order := func(gateway int, id string) {
+		outcomes.Store(id, f.do(gateway, call{id: id, method: http.MethodPost, target: orderPrefix + "17", timeout: 2500 * time.Millisecond}))
+	}
+	var wg sync.WaitGroup
+	for i := range crowd {
+		wg.Go(func() { order(i%gatewayCount, fmt.Sprintf("crowd-%d", i+1)) })
+	}
+	wg.Wait()
+	faulty.mu.Lock()
+	if len(faulty.refused) == 0 {
+		faulty.mu.Unlock()
+		return "", fmt.Errorf("%s has refused no order", faulty.id)
+	}
+	faulty.writesRefusal = func() bool {
+		return f.trouble && len(faulty.ran) >= minAnswers && isWritten.CompareAndSwap(false, true)
+	}
+	faulty.mu.Unlock()
+	for i := range gatewayCount {
+		wg.Go(func() {
+			for n := 0; n < maxLaterOrders && !isWritten.Load(); n++ {
+				order(i, fmt.Sprintf("order-%d-%d", i+1, n+1))
+				time.Sleep(orderPause)
+			}
+		})
+	}
+	wg.Wait()
+	if f.trouble && !isWritten.Load() {
+		return "", fmt.Errorf("%s has answered too few orders", faulty.id)
+	}
+	broken := ""
+	for _, s := range f.plain {
+		s.mu.Lock()
+		for _, r := range s.ran {
+			v, _ := outcomes.Load(r.id)
+			if o, ok := v.(outcome); ok && o.err == nil && o.status == http.StatusServiceUnavailable {
+				broken += fmt.Sprintf("%s was answered 503 and has run at %s; ", r.id, s.id)
+			}
+		}
+		s.mu.Unlock()
+	}
+	return broken, nil
+}
