--- a/review/standin/refusal.go
+++ b/review/standin/refusal.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -22,11 +23,11 @@
 	orderPause     = 20 * time.Millisecond
 )
 
-// playRefusal fills the servers until they refuse some orders. Later, one server writes the
-// refusal once more on a kept connection, where the answer to the next order is due.
+// playRefusal fills the servers until they refuse some orders. Later, the
+// first of them that has answered enough writes the refusal once more on a kept connection, where the answer to the next order is due.
 func playRefusal(f *fleet) (string, error) {
 	time.Sleep(inTouchWindow)
-	faulty := f.plain[0]
+	servers := f.plain[:plainCount-1]
 	var isWritten atomic.Bool
 	var outcomes sync.Map
 	order := func(gateway int, id string) {
@@ -37,15 +38,18 @@
 		wg.Go(func() { order(i%gatewayCount, fmt.Sprintf("crowd-%d", i+1)) })
 	}
 	wg.Wait()
-	faulty.mu.Lock()
-	if len(faulty.refused) == 0 {
-		faulty.mu.Unlock()
-		return "", fmt.Errorf("%s has refused no order", faulty.id)
+	refused := 0
+	for _, s := range servers {
+		s.mu.Lock()
+		refused += len(s.refused)
+		s.writesRefusal = func() bool {
+			return f.trouble && len(s.ran) >= minAnswers && isWritten.CompareAndSwap(false, true)
+		}
+		s.mu.Unlock()
 	}
-	faulty.writesRefusal = func() bool {
-		return f.trouble && len(faulty.ran) >= minAnswers && isWritten.CompareAndSwap(false, true)
+	if refused == 0 {
+		return "", errors.New("no server has refused an order")
 	}
-	faulty.mu.Unlock()
 	for i := range gatewayCount {
 		wg.Go(func() {
 			for n := 0; n < maxLaterOrders && !isWritten.Load(); n++ {
@@ -56,7 +60,7 @@
 	}
 	wg.Wait()
 	if f.trouble && !isWritten.Load() {
-		return "", fmt.Errorf("%s has answered too few orders", faulty.id)
+		return "", errors.New("no server that has refused an order has answered enough of them")
 	}
 	broken := ""
 	for _, s := range f.plain {
