--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -46,11 +46,15 @@
 	f.onBeat = onBeat
 	f.store.mu.Unlock()
 	<-written
+	var served atomic.Int32
 	var wg sync.WaitGroup
 	for i := range 12 {
 		wg.Go(func() {
 			for n := range 12 {
-				f.do(i%gatewayCount, call{id: fmt.Sprintf("order-%d-%d", i+1, n+1), method: http.MethodPost, target: ordersPrefix + "17", timeout: 2500 * time.Millisecond})
+				o := f.do(i%gatewayCount, call{id: fmt.Sprintf("order-%d-%d", i+1, n+1), method: http.MethodPost, target: ordersPrefix + "17", timeout: 2500 * time.Millisecond})
+				if o.err == nil && o.status == http.StatusOK {
+					served.Add(1)
+				}
 				time.Sleep(100 * time.Millisecond)
 			}
 		})
@@ -64,6 +68,9 @@
 			foreign++
 		}
 	}
+	if served.Load() == 0 || writes.Load() < foreignWrites {
+		return "", fmt.Errorf("%w: %d orders served, %d heartbeats", errNotPlayed, served.Load(), writes.Load())
+	}
 	if foreign == 0 {
 		return "", nil
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -51,6 +52,10 @@
 
 var cases = map[string]testCase{}
 
+// errNotPlayed says that the fleet did not do what the case needs, so that the rule was not
+// put to the test.
+var errNotPlayed = errors.New("the case was not played")
+
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE SISKINFALL RECORD")
--- a/review/standin/maps.go
+++ b/review/standin/maps.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -82,8 +83,8 @@
 		time.Sleep(10 * time.Second)
 		f.serve("short", 1, shortEvents*stride)
 		time.Sleep(3 * time.Second)
-		f.serve("last", 8, 8*stride)
-		return f.brokenMap(), nil
+		served := f.serve("last", 8, 8*stride)
+		return f.judge(served)
 	}
 	if !waitFor(c.held, 10*time.Second) {
 		return f.brokenMap(), errNoChange
@@ -98,14 +99,33 @@
 	}
 	if !waitFor(c.done, 5*time.Second) {
 		f.add("the restarted leader did not hold the same pass")
+		c.carryOutRelease()
 	}
 	f.serve("last", 8, 8*stride)
 	time.Sleep(repairTime)
-	f.serve("after", 8, 8*stride)
+	served := f.serve("after", 8, 8*stride)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f.add("%d of %d orders were left without an answer", c.unanswered, c.arrived)
-	return f.brokenMap(), nil
+	if c.phase < released && f.brokenMap() == "" {
+		return "", fmt.Errorf("%w: no leader has released the pass", errNotPlayed)
+	}
+	return f.judge(served)
+}
+
+// judge returns what broke the rule. If nothing did, the requests must have been served, and
+// the map must have changed.
+func (f *fleet) judge(served int) (string, error) {
+	if broken := f.brokenMap(); broken != "" {
+		return broken, nil
+	}
+	f.group.mu.Lock()
+	version := f.group.ranks[0].version
+	f.group.mu.Unlock()
+	if served == 0 || version == 0 {
+		return "", fmt.Errorf("%w: %d requests served, map %d", errNotPlayed, served, version)
+	}
+	return "", nil
 }
 
 // serveShort sends one request with as many passes as are left until a leader would hold the
@@ -137,15 +157,21 @@
 	}
 }
 
-// serve sends requests at the same time and waits for the answers.
-func (f *fleet) serve(name string, n, tokens int) {
+// serve sends requests at the same time and waits for the answers. It returns the number of
+// those that were served.
+func (f *fleet) serve(name string, n, tokens int) int {
 	var wg sync.WaitGroup
+	var served atomic.Int32
 	for i := range n {
 		wg.Go(func() {
-			f.do(i%gatewayCount, call{id: fmt.Sprintf("%s-%d", name, i+1), method: http.MethodPost, target: streamPrefix + name, tokens: tokens})
+			o := f.do(i%gatewayCount, call{id: fmt.Sprintf("%s-%d", name, i+1), method: http.MethodPost, target: streamPrefix + name, tokens: tokens})
+			if o.err == nil && o.status == http.StatusOK {
+				served.Add(1)
+			}
 		})
 	}
 	wg.Wait()
+	return int(served.Load())
 }
 
 // onOrder chooses the orders that get no answer.
@@ -179,6 +205,17 @@
 	return false
 }
 
+// carryOutRelease carries out the late release although the pass is not held again.
+func (c *mapCase) carryOutRelease() {
+	c.mu.Lock()
+	l := c.release
+	c.release = nil
+	c.mu.Unlock()
+	if l != nil {
+		l.carryOutLate()
+	}
+}
+
 func (l *lateOrder) carryOutLate() {
 	l.carryOut(l.order, fmt.Sprintf(", %.1f s late", time.Since(l.at).Seconds()))
 }
--- a/review/standin/paths.go
+++ b/review/standin/paths.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -35,13 +36,23 @@
 		return "", fmt.Errorf("a path without a route got %v", o)
 	}
 	f.changeCatalog(plainRoute("root", rootPrefix, plainService))
+	if o := f.do(0, call{id: "plain-1", method: http.MethodPost, target: "/desk/order/16", timeout: 2500 * time.Millisecond}); f.trouble && o.status != http.StatusOK {
+		return "", fmt.Errorf("%w: the new route is not served: %v", errNotPlayed, o)
+	}
+	answers := 0
 	for i := range gatewayCount {
-		f.do(i, call{id: fmt.Sprintf("after-%d", i+1), method: http.MethodPost, target: target, timeout: 2500 * time.Millisecond})
+		o := f.do(i, call{id: fmt.Sprintf("after-%d", i+1), method: http.MethodPost, target: target, timeout: 2500 * time.Millisecond})
+		if o.err == nil && o.status != http.StatusServiceUnavailable {
+			answers++
+		}
+	}
+	if answers == 0 {
+		return "", fmt.Errorf("%w: no request was answered", errNotPlayed)
 	}
 	broken := ""
 	for _, s := range f.plain {
 		for _, r := range s.ran {
-			if r.target != target {
+			if strings.HasPrefix(r.id, "after") && r.target != target {
 				broken += fmt.Sprintf("%s was sent as POST %s (Host: %s) and run as POST %s (host of the target: %s); ", r.id, target, routeHost, r.target, r.host)
 			}
 		}
--- a/review/standin/refusal.go
+++ b/review/standin/refusal.go
@@ -62,6 +62,16 @@
 	if f.trouble && !isWritten.Load() {
 		return "", errors.New("no server that has refused an order has answered enough of them")
 	}
+	served := 0
+	outcomes.Range(func(_, v any) bool {
+		if o := v.(outcome); o.err == nil && o.status == http.StatusOK {
+			served++
+		}
+		return true
+	})
+	if served < minAnswers {
+		return "", fmt.Errorf("%w: %d orders served", errNotPlayed, served)
+	}
 	broken := ""
 	for _, s := range f.plain {
 		s.mu.Lock()
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -70,6 +70,9 @@
 	broken := ""
 	for i, o := range outcomes {
 		id := fmt.Sprintf("stream-%d", i+1)
+		if o.status != http.StatusOK || !f.wasRun(id) {
+			return "", fmt.Errorf("%w: %s got %v", errNotPlayed, id, o)
+		}
 		// Without a SIGTERM the rule does not apply. Beyond the callers' patience, it is the
 		// caller that leaves.
 		if f.trouble && f.wasRun(id) && o.err != nil && o.longestGap < callerPatience && o.endGap < callerPatience {
