--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -5,10 +5,12 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -119,18 +121,27 @@
 	codec      Codec
 	// zone is the availability zone of this gateway.
 	zone string
+	// drain is nil until the process is asked to stop.
+	drain atomic.Pointer[drainPeriod]
+	// ended is done once requests in flight have to be answered, by endRequests.
+	ended       context.Context //nolint:containedctx // it ends with the process, not with a call
+	endRequests context.CancelFunc
 }
 
 // New returns a Forwarder for the gateway in a zone.
 func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, quarantine *quarantiner.Set, codec Codec, zone string) *Forwarder {
-	return &Forwarder{zone: zone, catalog: catalog, placer: p, budget: budget, pool: pool, quarantine: quarantine, codec: codec}
+	ended, endRequests := context.WithCancel(context.Background())
+	return &Forwarder{
+		zone: zone, catalog: catalog, placer: p, budget: budget, pool: pool, quarantine: quarantine, codec: codec,
+		ended: ended, endRequests: endRequests,
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := f.codec.DecodeRequest(r.Header)
 	x := &exchange{Forwarder: f, w: newReply(w, r, req.ID), r: r, start: time.Now(), Request: req}
-	if x.admit() && x.readBody() && x.checkQuarantine() {
+	if x.admit() && x.readBody() && x.checkDrain(time.Now()) && x.checkQuarantine() {
 		x.serve(r.Context())
 	}
 	if x.isTrial {
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -67,6 +67,7 @@
 func (x *exchange) serve(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.ended, cancel)()
 	unsentAttempts := 0
 	lastFailure := failure{}
 	for {
@@ -99,7 +100,7 @@
 
 // mustEnd reports whether no further attempt would serve the caller.
 func (x *exchange) mustEnd() bool {
-	return x.r.Context().Err() != nil || x.isEventOverdue(time.Now()) || x.isBlocked()
+	return x.r.Context().Err() != nil || x.ended.Err() != nil || x.isEventOverdue(time.Now()) || x.isBlocked()
 }
 
 // isBlocked reports whether the request was blocked since it was admitted. A trial goes on
@@ -234,6 +235,10 @@
 		p.Finish(placer.Cancelled, time.Now())
 		return retry{sent: true, fallback: failure{status: http.StatusBadGateway, reason: "caller left"}}
 	}
+	if x.ended.Err() != nil {
+		p.Finish(placer.Cancelled, time.Now())
+		return retry{sent: true, fallback: failure{status: http.StatusGatewayTimeout, reason: "no answer before the gateway stopped"}}
+	}
 	switch {
 	case errors.Is(err, errUnmarked):
 		p.Finish(placer.Failed, time.Now())
