--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -129,11 +130,50 @@
 	idle map[Key][]*Conn
 	// open counts connections by server, idle ones included.
 	open map[Key]int
+	// unidentified holds the servers in use that have sent a rejection without a request ID.
+	unidentified map[Key]bool
 }
 
 // NewPool returns an empty Pool.
 func NewPool() *Pool {
-	return &Pool{idle: make(map[Key][]*Conn), open: make(map[Key]int)}
+	return &Pool{idle: make(map[Key][]*Conn), open: make(map[Key]int), unidentified: make(map[Key]bool)}
+}
+
+// MarkUnidentified records that the server has sent a rejection without a request ID. On a
+// connection that was used before, such a rejection can be one of another request.
+func (p *Pool) MarkUnidentified(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unidentified[c.key] = true
+}
+
+// GetTrusted is like Get, but the connection is new if the server sends rejections without
+// a request ID.
+func (p *Pool) GetTrusted(ctx context.Context, key Key, limit int) (*Conn, error) {
+	if !p.makeRoomForNew(key, limit) {
+		return p.Get(ctx, key, limit)
+	}
+	return p.dial(ctx, key)
+}
+
+// makeRoomForNew counts a new connection to a server that sends rejections without a request
+// ID. It closes an idle one where the limit asks for it. It reports false for other servers,
+// and if the limit is reached.
+func (p *Pool) makeRoomForNew(key Key, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.unidentified[key] {
+		return false
+	}
+	if list := p.idle[key]; p.open[key] >= limit && len(list) > 0 {
+		p.idle[key] = list[1:]
+		// Close locks p.mu, which is held here.
+		go func() { _ = list[0].Close() }()
+	} else if p.open[key] >= limit {
+		return false
+	}
+	p.open[key]++
+	return true
 }
 
 // Get returns an idle connection or opens a new one. It returns ErrLimit if limit
@@ -153,6 +193,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, key)
+}
+
+// dial opens a connection that was counted.
+func (p *Pool) dial(ctx context.Context, key Key) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
@@ -219,6 +264,7 @@
 func (p *Pool) Prune(inUse func(Key) bool, now time.Time) {
 	var closing []*Conn
 	p.mu.Lock()
+	maps.DeleteFunc(p.unidentified, func(key Key, _ bool) bool { return !inUse(key) })
 	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -52,10 +52,13 @@
 func (*unknown) outcome()  {}
 
 var (
-	errUnsigned    = errors.New("answer is not signed by a backend server")
-	errUnmarked    = errors.New("status says not run, but the server did not mark the answer so")
-	errStrayAnswer = errors.New("answer belongs to another request")
-	errClosed      = errors.New("backend server takes no requests any more")
+	errUnsigned = errors.New("answer is not signed by a backend server")
+	errUnmarked = errors.New("status says not run, but the server did not mark the answer so")
+	// errUnidentified: a rejection without a request ID came on a connection that was used
+	// before. It may be an earlier one, once more, while the server runs this request.
+	errUnidentified = errors.New("rejection without a request ID on a used connection")
+	errStrayAnswer  = errors.New("answer belongs to another request")
+	errClosed       = errors.New("backend server takes no requests any more")
 )
 
 // maxStrayAnswers is the number of late answers to other requests that are skipped on
@@ -98,7 +101,11 @@
 
 // attempt sends the request to a placed server and reads the head of the answer.
 func (x *exchange) attempt(ctx context.Context, p *placer.Placed) outcome {
-	conn, err := x.pool.Get(ctx, dialer.Key{ID: p.ID, Addr: p.Addr}, x.connectionLimit())
+	getConn := x.pool.Get
+	if !x.route.IsRepeatable() {
+		getConn = x.pool.GetTrusted
+	}
+	conn, err := getConn(ctx, dialer.Key{ID: p.ID, Addr: p.Addr}, x.connectionLimit())
 	if err != nil {
 		return &notSent{err: err}
 	}
@@ -156,7 +163,13 @@
 	if a.Load != nil {
 		x.placer.SetLoad(p.ID, placer.Load{Running: a.Load.Running, Waiting: a.Load.Waiting, At: time.Now()})
 	}
+	if a.NotRun && a.RequestID == "" {
+		x.pool.MarkUnidentified(a.conn)
+	}
 	switch {
+	case a.NotRun && a.RequestID == "" && a.conn.Reused && !x.route.IsRepeatable():
+		a.release(false, x.pool)
+		return &unknown{err: wrapper.At("check_answer", p.ID, errUnidentified)}
 	case a.NotRun:
 		out := &notRun{Answer: a.Answer, status: a.resp.StatusCode}
 		// Once more on a kept connection, a rejection without an ID would be taken for the
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -242,6 +242,8 @@
 	switch {
 	case errors.Is(err, errUnmarked):
 		p.Finish(placer.Failed, time.Now())
+	case errors.Is(err, errUnidentified):
+		p.Finish(placer.Rejected, time.Now())
 	case errors.Is(err, limiter.ErrTooLarge):
 		p.Finish(placer.Lost, time.Now())
 	case isCutOff(err, p.GetDownSince(), x.sentAt, time.Now()):
