--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -67,7 +67,7 @@
 func (x *exchange) serve(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	defer context.AfterFunc(x.ended, cancel)()
+	defer context.AfterFunc(x.ended, cancel)() //nolint:contextcheck // the end of the process is no parent of ctx
 	unsentAttempts := 0
 	lastFailure := failure{}
 	for {
--- a/internal/group/commander/standstill_test.go
+++ b/internal/group/commander/standstill_test.go
@@ -19,7 +19,7 @@
 	return addrs
 }
 
-func readGroup(c *qt.C, ctx context.Context, cmd *Commander) Group {
+func readGroup(ctx context.Context, c *qt.C, cmd *Commander) Group {
 	c.Helper()
 	g, err := NewGroup(cmd.ReadAll(ctx, allAddrs(), Query{}))
 	c.Assert(err, qt.IsNil)
@@ -41,9 +41,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go g.run(ctx)
 		cmd := New(g, rand.Uint64)
-		cmd.Observe(readGroup(c, ctx, cmd)[1])
+		cmd.Observe(readGroup(ctx, c, cmd)[1])
 		time.Sleep(2 * passTime)
-		old := readGroup(c, ctx, cmd)
+		old := readGroup(ctx, c, cmd)
 		version := cmd.NewVersion(old, 2, time.Now().AddDate(27, 0, 0))
 		rng := rand.New(rand.NewPCG(2, 2))
 		placement := randomPlacement(rng)
