--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -213,9 +213,8 @@
 		// An empty value keeps net/http from adding its own.
 		h["User-Agent"] = []string{""}
 	}
-	u := &url.URL{Scheme: "http", Host: x.r.Host, Opaque: x.r.RequestURI}
 	req := &http.Request{
-		Method: x.r.Method, URL: u, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: h,
+		Method: x.r.Method, URL: &url.URL{Scheme: "http", Host: x.r.Host, Path: "/"}, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: h,
 		ContentLength: int64(len(x.body)),
 	}
 	if len(x.body) > 0 {
@@ -237,7 +236,7 @@
 func (x *exchange) writeRequest(conn *dialer.Conn, req *http.Request) error {
 	var buf bytes.Buffer
 	buf.Grow(len(x.body) + 1024)
-	if err := req.Write(&buf); err != nil {
+	if err := appendRequest(&buf, req, x.r.RequestURI); err != nil {
 		return err
 	}
 	_, err := conn.Write(buf.Bytes())
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -207,7 +207,7 @@
 		x.fail(http.StatusRequestHeaderFieldsTooLarge, "head too large", 0)
 		return false
 	}
-	x.route = x.snapshot.MatchRoute(x.r.Host, x.r.URL.Path)
+	x.route = x.snapshot.MatchRoute(x.r.Host, getTargetPath(x.r.RequestURI))
 	if x.route == nil {
 		return x.deny(http.StatusNotFound, "no route")
 	}
