--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -144,8 +144,6 @@
 			if x.attemptEvents++; x.attemptEvents > beginningEvents {
 				x.addPartsServed()
 			}
-			x.extendEventDeadline(time.Now())
-			err = a.conn.SetReadDeadline(x.eventDeadline)
 		}
 		switch {
 		case errors.Is(err, errNotContinued):
@@ -166,6 +164,13 @@
 			x.logEnd(http.StatusOK, reason, 0)
 			return done{}
 		}
+		if hasData(event) {
+			x.extendEventDeadline(time.Now())
+			if err := a.conn.SetReadDeadline(x.eventDeadline); err != nil {
+				a.release(false, x.pool)
+				return x.handleUnknown(ctx, p, err)
+			}
+		}
 	}
 }
 
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -244,15 +244,25 @@
 	return n + lineEnd
 }
 
-// patienceFraction is the fraction of a route's patience after which an attempt without
-// a further event is abandoned, so that the caller gets an answer before it leaves.
-const patienceFraction = 0.88
+const (
+	// patienceFraction is the fraction of a route's patience after which an attempt without
+	// a first event is abandoned, so that the caller gets an answer before it leaves.
+	patienceFraction = 0.88
+	// begunPatienceFraction is the same for an answer that has begun. Its end is no answer to
+	// the caller, who may still get the next event, so the caller leaves first.
+	begunPatienceFraction = 1.1
+)
 
 // extendEventDeadline sets the deadline of the next event.
 func (x *exchange) extendEventDeadline(now time.Time) {
-	if x.route.Patience > 0 {
-		x.eventDeadline = now.Add(time.Duration(float64(x.route.Patience) * patienceFraction))
+	if x.route.Patience <= 0 {
+		return
+	}
+	fraction := patienceFraction
+	if x.w.hasBegun() {
+		fraction = begunPatienceFraction
 	}
+	x.eventDeadline = now.Add(time.Duration(float64(x.route.Patience) * fraction))
 }
 
 // isEventOverdue reports whether the deadline of the next event has passed.
