--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -139,12 +139,6 @@
 		if err == nil {
 			skip, err = x.checkOrder(event, id, resumedAfter)
 		}
-		if err == nil && !skip && hasData(event) {
-			// A comment is no progress of the stream.
-			if x.attemptEvents++; x.attemptEvents > beginningEvents {
-				x.addPartsServed()
-			}
-		}
 		switch {
 		case errors.Is(err, errNotContinued):
 			return x.handleFailedResumption(p, a, err)
@@ -164,16 +158,26 @@
 			x.logEnd(http.StatusOK, reason, 0)
 			return done{}
 		}
-		if hasData(event) {
-			x.extendEventDeadline(time.Now())
-			if err := a.conn.SetReadDeadline(x.eventDeadline); err != nil {
-				a.release(false, x.pool)
-				return x.handleUnknown(ctx, p, err)
-			}
+		if err := x.recordProgress(a, event); err != nil {
+			a.release(false, x.pool)
+			return x.handleUnknown(ctx, p, err)
 		}
 	}
 }
 
+// recordProgress counts a relayed event and extends the deadline of the next one. A comment is
+// no progress of the stream.
+func (x *exchange) recordProgress(a *answered, event []byte) error {
+	if !hasData(event) {
+		return nil
+	}
+	if x.attemptEvents++; x.attemptEvents > beginningEvents {
+		x.addPartsServed()
+	}
+	x.extendEventDeadline(time.Now())
+	return a.conn.SetReadDeadline(x.eventDeadline)
+}
+
 // checkOrder checks an event of a stream that was resumed after an event, 0 for none. It
 // returns true for an event that the caller has, with which a resumed stream may begin.
 func (x *exchange) checkOrder(event []byte, id, resumedAfter int) (skip bool, err error) {
