--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -133,7 +133,11 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && len(event) == 0 {
-			return x.finishStream(p, a)
+			if resumedAfter == 0 || x.attemptEvents > 0 {
+				return x.finishStream(p, a)
+			}
+			// Nothing shows that this server had the rest of the stream.
+			err = errNotContinued
 		}
 		skip := false
 		if err == nil {
