--- a/internal/wire/connector/acceptor.go
+++ b/internal/wire/connector/acceptor.go
@@ -5,14 +5,19 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hashicorp/yamux"
 
 	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/encoder"
 )
 
+// acceptBackoff is the pause after a connection could not be accepted.
+const acceptBackoff = 50 * time.Millisecond
+
 // Handler serves one stream whose first frame is open. The stream is closed when
 // Handler returns.
 type Handler func(ctx context.Context, peer *encoder.Hello, open *encoder.Open, s *Stream)
@@ -30,7 +35,7 @@
 }
 
 // Serve accepts sessions on ln until ctx ends, then closes them all and waits
-// for the handlers.
+// for the handlers. It returns an error if ln was closed before.
 func (a *Acceptor) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
@@ -40,9 +45,15 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return wrapper.At("accept", ln.Addr().String(), err)
 		}
+		if err != nil {
+			// Such as too many open files, until some are closed.
+			log.Warn("failed to accept a connection", "step", "accept", "listener", ln.Addr(), "error", err)
+			sleeper.Sleep(ctx, acceptBackoff)
+			continue
+		}
 		a.wg.Go(func() { a.serveConn(ctx, conn) })
 	}
 }
