--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -167,7 +167,11 @@
 	if err != nil {
 		return err
 	}
-	callerServer := &http.Server{Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnContext: resetter.WithConn} //nolint:gosec // the evictor bounds the time to read the headers
+	callerServer := &http.Server{ //nolint:gosec // the evictor bounds the time to read the headers
+		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnContext: resetter.WithConn,
+		// OPTIONS * has no route; net/http would answer it with a success.
+		DisableGeneralOptionsHandler: true,
+	}
 	callers = evictor.New(g.catalog).Watch(callerServer, callers)
 	adminServer := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
 	var wg sync.WaitGroup
