--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -148,7 +148,7 @@
 }
 
 // GetTrusted is like Get, but the connection is new if the server sends rejections without
-// a request ID.
+// a request ID, so that the first answer can't be one of another request.
 func (p *Pool) GetTrusted(ctx context.Context, key Key, limit int) (*Conn, error) {
 	if !p.makeRoomForNew(key, limit) {
 		return p.Get(ctx, key, limit)
--- a/internal/group/commander/change.go
+++ b/internal/group/commander/change.go
@@ -181,7 +181,7 @@
 }
 
 // hold keeps the leader's own rank, and with it the group, from beginning a pass a few
-// passes ahead, to which the group changes to the version. It returns that hold.
+// passes ahead: the pass at which the version comes into force. It returns that hold.
 func (c *Commander) hold(ctx context.Context, g Group, own *Status, version uint64) (holder, error) {
 	for range maxHoldAttempts {
 		s, err := c.read(ctx, own.Addr, Query{LeaderRank: own.Rank})
@@ -262,8 +262,8 @@
 	return nil
 }
 
-// releaseAll ends the holds of all changes up to the version settled, to which rule 4
-// applies.
+// releaseAll ends the holds of changes up to the version settled. By rule 4, every rank is armed
+// with that version, or none can be armed with it or an earlier one any more.
 func (c *Commander) releaseAll(ctx context.Context, g Group, holders []holder, settled uint64) error {
 	errs := make([]error, 0, len(holders))
 	for _, h := range holders {
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -24,8 +24,8 @@
 //     that hold may be in flight.
 //  3. The first rank is armed first. While it is not armed, no other rank is, and
 //     preparing a newer map there makes the older one impossible; the other ranks
-//     keep an older one until the first rank is seen without it. Once it is armed, the change can only go
-//     forward, and any leader that finds it may complete it.
+//     keep an older one until the first rank is seen without it. Once it is armed,
+//     the change can only go forward, and any leader that finds it may complete it.
 //  4. A leader releases its own hold when every rank has confirmed that it is armed
 //     with this version for this pass, or when the first rank can't be armed with
 //     it any more. It releases the hold of another leader only when every rank is
