Placer, watcher, gossiper: zones that the operator takes out of use

Callers saw no difference, the operator did: the servers of a zone whose row stood in the operator's table were sent requests as before, since only the catalog's row of that table was read.

Cause: no state for zones. Change: fleet/withdrawer keeps the set with its position in the store; the follower of the operator's table reads it with the catalog, gateways exchange it while it is not empty, a gateway that starts is ready once it knows it, and placer.closedReason closes the servers. A zone that is back returns as servers do after a pause.

Source.GetCatalog and WatchCatalog became GetOperator and WatchOperator; the fakes of the watcher's tests follow, nothing in them is checked less. TestClosedServerIsAssignedNothing has the new reason.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -16,6 +16,7 @@
 
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fleet/lister"
+	"siskinfall/internal/fleet/withdrawer"
 	"siskinfall/internal/gateway/quarantiner"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/connector"
@@ -73,7 +74,9 @@
 	catalog *holder.Holder
 	servers *lister.Lister
 	losses  *quarantiner.Set
-	seeds   []netip.AddrPort
+	// zones is nil if the gateways do not exchange the availability zones out of use.
+	zones *withdrawer.Zones
+	seeds []netip.AddrPort
 	// onGatewayCount receives the number of gateways, this one included, and the number among
 	// which the fleet's totals are divided.
 	onGatewayCount func(members, sharers int)
@@ -100,6 +103,9 @@
 	return func(g *Gossiper) { g.isStoreAvailable = isAvailable }
 }
 
+// WithZones sets the set of availability zones out of use, which is exchanged with the others.
+func WithZones(zones *withdrawer.Zones) Option { return func(g *Gossiper) { g.zones = zones } }
+
 // New returns a Gossiper. own is the address of this gateway's listener for peers;
 // seeds may be stale. onGatewayCount receives the number of gateways, this one
 // included, on every update of the members, and the number that may use a share of the
@@ -214,6 +220,7 @@
 		}
 		now := time.Now()
 		g.mergeLosses(request, request.GetAddress(), now)
+		g.mergeZones(request, request.GetAddress(), now)
 		g.AddGateways([]string{request.GetAddress()})
 		answer, err := g.answer(request, now)
 		if err != nil {
@@ -247,6 +254,7 @@
 	if m.GetLossesFingerprint() != peerFingerprint {
 		m.Losses = encodeLosses(g.losses.Export(now), now)
 	}
+	m.ClosedZones = g.encodeZones(false)
 	return m
 }
 
@@ -260,6 +268,7 @@
 	if request.GetLossesFingerprint() != m.GetLossesFingerprint() {
 		m.Losses = encodeLosses(g.losses.Export(now), now)
 	}
+	m.ClosedZones = g.encodeZones(request.GetClosedZones() != nil)
 	if c := g.catalog.Get(); c != nil && c.Version > request.GetCatalogVersion() && (!request.GetPulls() || request.GetWantsCatalog()) {
 		data, err := g.encodeCatalog(c, request.GetPulls())
 		if err != nil {
--- a/internal/fleet/gossiper/poll.go
+++ b/internal/fleet/gossiper/poll.go
@@ -128,6 +128,8 @@
 	g.mu.Unlock()
 	g.AddGateways(m.GetGateways())
 	g.mergeLosses(m, addr.String(), now)
+	// Before the catalog, so that no request is placed without the zones.
+	g.mergeZones(m, addr.String(), now)
 	if len(m.GetCatalog()) > 0 {
 		c := &holder.Catalog{}
 		if err := decodeState(m.GetCatalog(), m.GetPulls(), c); err != nil {
--- a/internal/fleet/watcher/restore_test.go
+++ b/internal/fleet/watcher/restore_test.go
@@ -14,6 +14,7 @@
 
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fleet/lister"
+	"siskinfall/internal/fleet/withdrawer"
 )
 
 var errStoreDown = errors.New("the store is down")
@@ -28,12 +29,39 @@
 	catalog  *holder.Catalog
 	// catalogRevision is that of the catalog's row.
 	catalogRevision uint64
-	changed         chan struct{}
+	// zones holds the rows of zones, by name.
+	zones   map[string]zoneRow
+	changed chan struct{}
+}
+
+// zoneRow is the row of a zone out of use, or its removal.
+type zoneRow struct {
+	removed  bool
+	revision uint64
+}
+
+// setZone takes a zone out of use, or puts it back.
+func (s *restorableStore) setZone(zone string, inUse bool) {
+	s.write(func() {
+		s.position.Revision++
+		s.zones[zone] = zoneRow{removed: inUse, revision: s.position.Revision}
+	})
+}
+
+// zoneChanges returns the changes of zones after a revision; it needs the lock.
+func (s *restorableStore) zoneChanges(after uint64) []withdrawer.Change {
+	var changes []withdrawer.Change
+	for zone, r := range s.zones {
+		if r.revision > after && (after > 0 || !r.removed) {
+			changes = append(changes, withdrawer.Change{Zone: zone, Returned: r.removed})
+		}
+	}
+	return changes
 }
 
 func newRestorableStore() *restorableStore {
 	return &restorableStore{
-		position: lister.Position{Era: 1}, entries: make(map[string]lister.Server), removed: make(map[string]uint64), changed: make(chan struct{}),
+		position: lister.Position{Era: 1}, entries: make(map[string]lister.Server), removed: make(map[string]uint64), zones: make(map[string]zoneRow), changed: make(chan struct{}),
 	}
 }
 
@@ -76,11 +104,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	revision, entries, removed := s.position.Revision, maps.Clone(s.entries), maps.Clone(s.removed)
-	catalog, catalogRevision := s.catalog, s.catalogRevision
+	catalog, catalogRevision, zones := s.catalog, s.catalogRevision, maps.Clone(s.zones)
 	return func() {
 		s.write(func() {
 			s.position = lister.Position{Era: s.position.Era + 1, Revision: revision}
 			s.entries, s.removed, s.catalog, s.catalogRevision = maps.Clone(entries), maps.Clone(removed), catalog, catalogRevision
+			s.zones = maps.Clone(zones)
 			s.down = false
 		})
 	}
@@ -114,22 +143,25 @@
 	}
 }
 
-func (s *restorableStore) GetCatalog(ctx context.Context) (*holder.Catalog, lister.Position, error) {
+func (s *restorableStore) GetOperator(ctx context.Context) (Operator, lister.Position, error) {
 	err := s.wait(ctx, 0, func() bool { return true })
 	defer s.mu.Unlock()
-	return s.catalog, s.position, err
+	return Operator{Catalog: s.catalog, Zones: s.zoneChanges(0)}, s.position, err
 }
 
-func (s *restorableStore) WatchCatalog(ctx context.Context, after uint64, wait time.Duration) (*holder.Catalog, lister.Position, error) {
-	err := s.wait(ctx, wait, func() bool { return s.catalogRevision > after || after > s.position.Revision })
+func (s *restorableStore) WatchOperator(ctx context.Context, after uint64, wait time.Duration) (Operator, lister.Position, error) {
+	err := s.wait(ctx, wait, func() bool {
+		return s.catalogRevision > after || len(s.zoneChanges(after)) > 0 || after > s.position.Revision
+	})
 	defer s.mu.Unlock()
-	switch {
-	case err == nil && after > s.position.Revision:
-		return nil, s.position, ErrHistoryLost
-	case s.catalogRevision > after:
-		return s.catalog, s.position, err
+	if err == nil && after > s.position.Revision {
+		return Operator{}, s.position, ErrHistoryLost
+	}
+	o := Operator{Zones: s.zoneChanges(after)}
+	if s.catalogRevision > after {
+		o.Catalog = s.catalog
 	}
-	return nil, s.position, err
+	return o, s.position, err
 }
 
 func (s *restorableStore) GetServers(ctx context.Context) ([]lister.Server, lister.Position, error) {
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -1,4 +1,4 @@
-// Package watcher follows the catalog and the list of backend servers in the store,
+// Package watcher follows what the operator writes and the list of backend servers in the store,
 // through outages, lost history and connections that stop answering.
 package watcher
 
@@ -13,6 +13,7 @@
 
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fleet/lister"
+	"siskinfall/internal/fleet/withdrawer"
 	"siskinfall/internal/process/sleeper"
 )
 
@@ -27,14 +28,22 @@
 // has to be read again.
 var errRestored = errors.New("store was restored from an older copy")
 
+// Operator is what the operator has written to the store.
+type Operator struct {
+	// Catalog is nil if there is none, or no change of it.
+	Catalog *holder.Catalog
+	// Zones are the availability zones out of use, or the changes of these.
+	Zones []withdrawer.Change
+}
+
 // Source reads the followed tables of the store. The era of a position is 0 if the store
 // does not report it.
 type Source interface {
-	// GetCatalog returns the catalog, nil if there is none yet.
-	GetCatalog(ctx context.Context) (*holder.Catalog, lister.Position, error)
-	// WatchCatalog waits for a change after a revision; the catalog is nil if there was
-	// none. It returns ErrHistoryLost if the changes are no longer available.
-	WatchCatalog(ctx context.Context, after uint64, wait time.Duration) (*holder.Catalog, lister.Position, error)
+	// GetOperator returns the catalog and the zones out of use.
+	GetOperator(ctx context.Context) (Operator, lister.Position, error)
+	// WatchOperator waits for a change after a revision. It returns ErrHistoryLost if the
+	// changes are no longer available.
+	WatchOperator(ctx context.Context, after uint64, wait time.Duration) (Operator, lister.Position, error)
 	GetServers(ctx context.Context) ([]lister.Server, lister.Position, error)
 	// WatchServers waits for changes after a revision. It returns ErrHistoryLost if they
 	// are no longer available.
@@ -80,6 +89,7 @@
 	source  Source
 	catalog *holder.Holder
 	servers *lister.Lister
+	zones   *withdrawer.Zones
 	// gateways is the number of gateways that send changes to each other.
 	gateways atomic.Int64
 	// unavailable counts the tables whose latest call failed.
@@ -100,6 +110,9 @@
 // it seldom, since those that watch pass changes on.
 func WithRole(watches func() bool) Option { return func(w *Watcher) { w.watches = watches } }
 
+// WithZones sets the set of availability zones out of use that is kept up to date.
+func WithZones(zones *withdrawer.Zones) Option { return func(w *Watcher) { w.zones = zones } }
+
 // IsUpToDate reports whether this gateway watches the store, and the latest calls succeeded.
 func (w *Watcher) IsUpToDate() bool { return w.unavailable.Load() == 0 && w.watches() }
 
@@ -131,7 +144,7 @@
 
 // New returns a Watcher that keeps catalog and servers up to date.
 func New(source Source, catalog *holder.Holder, servers *lister.Lister, opts ...Option) *Watcher {
-	w := &Watcher{source: source, catalog: catalog, servers: servers, watches: func() bool { return true }}
+	w := &Watcher{source: source, catalog: catalog, servers: servers, zones: withdrawer.New(), watches: func() bool { return true }}
 	for _, opt := range opts {
 		opt(w)
 	}
@@ -140,7 +153,8 @@
 	return w
 }
 
-// RunCatalog keeps the catalog up to date until ctx ends.
+// RunCatalog keeps the catalog and the zones out of use up to date until ctx ends. The zones
+// are put in force first, so that no request is placed without them.
 func (w *Watcher) RunCatalog(ctx context.Context) {
 	// stored is the version in the store, which after a restoration may be below that in force.
 	stored := uint64(0)
@@ -159,17 +173,34 @@
 	f := follower{
 		Watcher: w, table: "catalog",
 		readAll: func(ctx context.Context) (update, error) {
-			c, at, err := w.source.GetCatalog(ctx)
-			return update{at, func(lister.Position) { apply(c, true) }}, err
+			o, at, err := w.source.GetOperator(ctx)
+			return update{at, func(at lister.Position) {
+				w.zones.Replace(closedZones(o.Zones), at, "store", time.Now())
+				apply(o.Catalog, true)
+			}}, err
 		},
 		watch: func(ctx context.Context, after uint64, wait time.Duration) (update, error) {
-			c, at, err := w.source.WatchCatalog(ctx, after, wait)
-			return update{at, func(lister.Position) { apply(c, false) }}, err
+			o, at, err := w.source.WatchOperator(ctx, after, wait)
+			return update{at, func(at lister.Position) {
+				w.zones.Apply(o.Zones, at, "store")
+				apply(o.Catalog, false)
+			}}, err
 		},
 	}
 	f.run(ctx)
 }
 
+// closedZones returns the zones that are out of use after changes.
+func closedZones(changes []withdrawer.Change) []string {
+	var closed []string
+	for _, ch := range changes {
+		if !ch.Returned {
+			closed = append(closed, ch.Zone)
+		}
+	}
+	return closed
+}
+
 // RunServers keeps the list of backend servers up to date until ctx ends.
 func (w *Watcher) RunServers(ctx context.Context) {
 	f := follower{
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -21,21 +21,21 @@
 
 func (s *flakyStore) catalog() *holder.Catalog { return &holder.Catalog{Version: s.version.Load()} }
 
-func (s *flakyStore) GetCatalog(context.Context) (*holder.Catalog, lister.Position, error) {
+func (s *flakyStore) GetOperator(context.Context) (Operator, lister.Position, error) {
 	if s.calls.Add(1)%3 == 0 {
-		return nil, lister.Position{}, context.DeadlineExceeded
+		return Operator{}, lister.Position{}, context.DeadlineExceeded
 	}
-	return s.catalog(), lister.Position{Revision: s.version.Load()}, nil
+	return Operator{Catalog: s.catalog()}, lister.Position{Revision: s.version.Load()}, nil
 }
 
-func (s *flakyStore) WatchCatalog(_ context.Context, after uint64, _ time.Duration) (*holder.Catalog, lister.Position, error) {
+func (s *flakyStore) WatchOperator(_ context.Context, after uint64, _ time.Duration) (Operator, lister.Position, error) {
 	switch s.calls.Add(1) % 4 {
 	case 0:
-		return nil, lister.Position{}, context.DeadlineExceeded
+		return Operator{}, lister.Position{}, context.DeadlineExceeded
 	case 1:
-		return nil, lister.Position{}, ErrHistoryLost
+		return Operator{}, lister.Position{}, ErrHistoryLost
 	}
-	return s.catalog(), lister.Position{Revision: s.version.Add(1)}, nil
+	return Operator{Catalog: s.catalog()}, lister.Position{Revision: s.version.Add(1)}, nil
 }
 
 func (s *flakyStore) GetServers(context.Context) ([]lister.Server, lister.Position, error) {
--- /dev/null
+++ b/internal/fleet/withdrawer/metrics.go
@@ -0,0 +1,6 @@
+package withdrawer
+
+import "github.com/VictoriaMetrics/metrics"
+
+// closedZones is the number of availability zones that are out of use.
+var closedZones = metrics.NewGauge("siskinfall_gateway_closed_zones", nil)
--- a/internal/gateway/placer/closure.go
+++ b/internal/gateway/placer/closure.go
@@ -35,6 +35,7 @@
 	saysLeaving   closedReason = "says that it leaves"
 	asksForPause  closedReason = "asks for a pause"
 	isReturning   closedReason = "returns from a pause"
+	zoneIsClosed  closedReason = "its availability zone is out of use"
 )
 
 // incarnation identifies one start of a server.
@@ -63,8 +64,11 @@
 
 // closedReason is asked by every path that sends to a server.
 func (p *Placer) closedReason(s *server, now time.Time) closedReason {
-	if s.Leaving {
+	switch {
+	case s.Leaving:
 		return listedLeaving
+	case p.isInClosedZone(s):
+		return zoneIsClosed
 	}
 	c := p.closures[incarnationOf(&s.Server)]
 	switch {
--- a/internal/gateway/placer/invariant_test.go
+++ b/internal/gateway/placer/invariant_test.go
@@ -13,7 +13,7 @@
 // expects that Place refuses the work, and that assigning it all the same violates the
 // invariant.
 func TestClosedServerIsAssignedNothing(t *testing.T) {
-	for _, reason := range []closedReason{listedLeaving, saysLeaving, asksForPause, isReturning} {
+	for _, reason := range []closedReason{listedLeaving, saysLeaving, asksForPause, isReturning, zoneIsClosed} {
 		t.Run(string(reason), func(t *testing.T) {
 			c := qt.New(t)
 			p := newPlainPlacer(1)
@@ -29,6 +29,8 @@
 			case isReturning:
 				p.SetPause(s.Server, time.Millisecond, start.Add(-time.Second))
 				p.closures[incarnationOf(&s.Server)].placed = 1
+			case zoneIsClosed:
+				p.SetClosedZones([]string{s.Zone}, start)
 			}
 			c.Assert(p.closedReason(s, start), qt.Equals, reason)
 			_, refused := p.Place(deskWork(start), start).(*Refused)
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -165,6 +165,8 @@
 	// closures holds the servers that have said that they leave or want a pause. It outlasts
 	// their entries in the list.
 	closures map[incarnation]*closure
+	// closedZones are the availability zones out of use.
+	closedZones []string
 	// gatewayCount is the number of gateways that place requests at the same
 	// servers, including this one.
 	gatewayCount int
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -22,6 +22,7 @@
 	"siskinfall/internal/fleet/lister"
 	"siskinfall/internal/fleet/subscriber"
 	"siskinfall/internal/fleet/watcher"
+	"siskinfall/internal/fleet/withdrawer"
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/evictor"
 	"siskinfall/internal/gateway/forwarder"
@@ -71,6 +72,7 @@
 	cfg         *loader.Settings
 	catalog     *holder.Holder
 	servers     *lister.Lister
+	zones       *withdrawer.Zones
 	placer      *placer.Placer
 	pool        *dialer.Pool
 	retryBudget *budgeter.Budget
@@ -90,14 +92,15 @@
 // NewGateway returns a Gateway that reads the catalog and the servers from source
 // and uses codec for the platform's headers.
 func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
-	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
+	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), zones: withdrawer.New(), placer: placer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
 	g.retryBudget = budgeter.New(budgeter.Bound{
 		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
 	}, time.Now())
 	g.catalog.OnChange(g.placer.SetCatalog)
 	g.servers.OnChange(g.placer.SetServers)
+	g.zones.OnChange(func(closed []string) { g.placer.SetClosedZones(closed, time.Now()) })
 	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone)
-	g.watcher = watcher.New(source, g.catalog, g.servers, watcher.WithRole(g.watchesStore))
+	g.watcher = watcher.New(source, g.catalog, g.servers, watcher.WithRole(g.watchesStore), watcher.WithZones(g.zones))
 	g.hello = &encoder.Hello{
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
 	}
@@ -110,7 +113,7 @@
 		g.retryBudget.SetGateways(sharers)
 		g.placer.SetGateways(members)
 		g.watcher.SetGateways(members)
-	}, gossiper.WithStoreState(g.watcher.IsUpToDate))
+	}, gossiper.WithStoreState(g.watcher.IsUpToDate), gossiper.WithZones(g.zones))
 	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
 		return g.gossiper.IsAmongFirst(tellersPerSidecar, sidecar.String(), time.Now())
 	})
@@ -254,7 +257,7 @@
 
 // isReady reports whether the gateway can take new callers.
 func (g *Gateway) isReady() bool {
-	return !g.stopping.Load() && g.catalog.Get() != nil && g.servers.GetPosition() != (lister.Position{}) && g.quarantine.IsComplete()
+	return !g.stopping.Load() && g.catalog.Get() != nil && g.servers.GetPosition() != (lister.Position{}) && g.zones.IsKnown() && g.quarantine.IsComplete()
 }
 
 func (g *Gateway) adminHandler() http.Handler {
@@ -274,6 +277,7 @@
 	for ctx.Err() == nil {
 		sleeper.Sleep(ctx, cleanupInterval)
 		g.servers.Expire(time.Now())
+		g.zones.Expire(time.Now())
 		g.pool.Prune(func(k dialer.Key) bool { return g.placer.IsInUse(k.ID) }, time.Now())
 	}
 }
