Placer: rate of cold servers, divided among the gateways

A cold server was sent requests like any other, and crashes above a rate that all gateways together may send; its service's configuration names the rate. A zone that returns is cold as a whole, empty, and so draws all callers.

Cause: the terms and the entries' cold times were read past. Change: they are decoded; each gateway has whole units of the rate by its place among all gateways that may live (gateway/apportioner), and uses a unit up for a second and 100 ms from the write on (placer/cold.go). Of the sources of the state the strictest counts. Nothing changes for services without a rate. Routes' sticky is decoded, too, for which the golden file of the catalog has one line more.

TestClosedServerIsAssignedNothing has the new reason; PlatformNames has three names more.

Without the check before the write TestServerThatTurnsColdCountsWhatItGotBefore fails, without the history of the earlier incarnation or its check TestRestartUnderSameIDGrantsNoSecondShare, without the return's rule TestZoneReturnsWithinColdRate, without that of the reports TestServerThatStartedIsColdWhateverItSays.

--- a/internal/catalog/holder/catalog.go
+++ b/internal/catalog/holder/catalog.go
@@ -53,6 +53,8 @@
 	MaxAttempts int `json:"max_attempts"`
 	// Public routes need no key.
 	Public bool `json:"public"`
+	// Sticky routes carry requests that name the shared parts of their prompts.
+	Sticky bool `json:"sticky,omitempty"`
 	// Resumable streams may continue on another backend server after any event.
 	Resumable bool `json:"resumable"`
 }
@@ -109,6 +111,10 @@
 	// MaxConnections is the number of connections that one backend server accepts from
 	// all callers together.
 	MaxConnections int `json:"max_connections"`
+	// ColdStart is how long a backend server is cold after its start, and ColdRate the number
+	// of requests a second that one bears while it is cold, 0 for no bound.
+	ColdStart time.Duration `json:"cold_start,omitempty"`
+	ColdRate  float64       `json:"cold_rate,omitempty"`
 	// Engine is nil for services without model engines.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -80,6 +81,10 @@
 	// onGatewayCount receives the number of gateways, this one included, and the number among
 	// which the fleet's totals are divided.
 	onGatewayCount func(members, sharers int)
+	// onSharers receives the other gateways among which totals are divided, and whether any has
+	// answered since the start.
+	onSharers func(others []netip.AddrPort, isHeard bool)
+	isHeard   bool
 	// started is when Run began.
 	started time.Time
 	mu      sync.Mutex
@@ -106,6 +111,12 @@
 // WithZones sets the set of availability zones out of use, which is exchanged with the others.
 func WithZones(zones *withdrawer.Zones) Option { return func(g *Gossiper) { g.zones = zones } }
 
+// WithSharers sets a function that receives, on every update of the members, the other gateways
+// that may use a share of the fleet's totals, and whether any has answered since the start.
+func WithSharers(f func(others []netip.AddrPort, isHeard bool)) Option {
+	return func(g *Gossiper) { g.onSharers = f }
+}
+
 // New returns a Gossiper. own is the address of this gateway's listener for peers;
 // seeds may be stale. onGatewayCount receives the number of gateways, this one
 // included, on every update of the members, and the number that may use a share of the
@@ -114,7 +125,7 @@
 	g := &Gossiper{
 		own: own, seeds: seeds, pool: pool, catalog: catalog, servers: servers, losses: losses, onGatewayCount: onGatewayCount,
 		members: make(map[netip.AddrPort]*member), gone: make(map[netip.AddrPort]time.Time),
-		isStoreAvailable: func() bool { return false },
+		isStoreAvailable: func() bool { return false }, onSharers: func([]netip.AddrPort, bool) {},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -164,6 +175,7 @@
 		}
 		members, sharers := g.update(ctx, &wg, now)
 		g.onGatewayCount(members, sharers)
+		g.onSharers(g.getSharers())
 		if members == 1 {
 			g.losses.SetComplete()
 		}
@@ -203,6 +215,15 @@
 	return len(g.members) + 1, len(g.members) + len(g.gone) + 1
 }
 
+// getSharers returns the other gateways that may use a share of the fleet's totals, and whether
+// any has answered since the start.
+func (g *Gossiper) getSharers() (others []netip.AddrPort, isHeard bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	others = slices.AppendSeq(slices.Collect(maps.Keys(g.members)), maps.Keys(g.gone))
+	return others, g.isHeard
+}
+
 func (g *Gossiper) hasSeedAddr(addr netip.AddrPort) bool {
 	return slices.ContainsFunc(g.seeds, func(s netip.AddrPort) bool { return s.Addr() == addr.Addr() })
 }
--- a/internal/fleet/gossiper/poll.go
+++ b/internal/fleet/gossiper/poll.go
@@ -122,6 +122,7 @@
 // applyAnswer merges the state in an answer from addr.
 func (g *Gossiper) applyAnswer(m *encoder.GatewaySync, addr netip.AddrPort, now time.Time) {
 	g.mu.Lock()
+	g.isHeard = true
 	if peer := g.members[addr]; peer != nil {
 		peer.lastAnswer, peer.lastReported = now, now
 	}
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -26,6 +26,10 @@
 	Started time.Time `json:"started"`
 	// Revision grows with each change of the entry within one era of the store.
 	Revision uint64 `json:"revision"`
+	// Cold is for how much longer the server is cold, as of this revision. ColdUntil is when
+	// it is warm by the clock of this process; it never falls for an incarnation.
+	Cold      time.Duration `json:"cold,omitempty"`
+	ColdUntil time.Time     `json:"-"`
 	// Lapsed is set, in a snapshot only, for a server that is still in use although its
 	// entry is missing. Gone and WasLeaving are set there for a server that was gone or
 	// leaving before the store was restored, and whose entry is from the copy.
@@ -34,13 +38,26 @@
 	WasLeaving bool `json:"was_leaving,omitempty"`
 }
 
-// equal reports whether two entries have the same content.
+// equal reports whether two entries have the same content, but for the time that a server is
+// still cold.
 func (s Server) equal(o Server) bool {
 	started := s.Started.Equal(o.Started)
 	s.Started, o.Started = time.Time{}, time.Time{}
+	s.Cold, o.Cold, s.ColdUntil, o.ColdUntil = 0, 0, time.Time{}, time.Time{}
 	return started && s == o
 }
 
+// setColdUntil dates the entry's cold time from now, unless it was read before.
+func (s *Server) setColdUntil(old Server, now time.Time) {
+	isSame := old.ID == s.ID && old.Started.Equal(s.Started)
+	if isSame {
+		s.ColdUntil = old.ColdUntil
+	}
+	if until := now.Add(s.Cold); s.Cold > 0 && (!isSame || old.Revision != s.Revision) && until.After(s.ColdUntil) {
+		s.ColdUntil = until
+	}
+}
+
 // Position is a point in the history of the store.
 type Position struct {
 	// Era counts how often the store was restored from an older copy; 0 if it does not
@@ -322,6 +339,7 @@
 	if exists && old.incarnation() != s.incarnation() {
 		l.endings[old.incarnation()] = ending{era: l.position.Era, revision: old.Revision, gone: true, at: now}
 	}
+	s.setColdUntil(old, now)
 	l.entries[s.ID] = s
 	if exists && old.equal(s) {
 		return
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -85,3 +85,21 @@
 	l.Apply(append(newRemovals("a"), Change{Server: Server{ID: "a", Revision: 51}}), at(51), testStart)
 	c.Assert(l.GetAll(), qt.HasLen, 3)
 }
+
+// TestColdTimeIsDatedOnceForEachEntry guards against a server that stays cold for as long as
+// its entry is read again, and against one that a later entry makes warm too early.
+func TestColdTimeIsDatedOnceForEachEntry(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	l := New()
+	coldUntil := func() time.Duration { return l.GetAll()[0].ColdUntil.Sub(now).Round(time.Millisecond) }
+	s := Server{ID: "a", Started: now, Revision: 1, Cold: 3 * time.Second}
+	l.Replace([]Server{s}, Position{Revision: 1}, now)
+	c.Check(coldUntil(), qt.Equals, 3*time.Second)
+	l.Replace([]Server{s}, Position{Revision: 2}, now.Add(2*time.Second))
+	c.Check(coldUntil(), qt.Equals, 3*time.Second)
+	l.Apply([]Change{{Server: Server{ID: "a", Started: now, Revision: 3}}}, Position{Revision: 3}, now.Add(2*time.Second))
+	c.Check(coldUntil(), qt.Equals, 3*time.Second)
+	l.Apply([]Change{{Server: Server{ID: "a", Started: now, Revision: 4, Cold: 2 * time.Second}}}, Position{Revision: 4}, now.Add(10*time.Second))
+	c.Check(coldUntil(), qt.Equals, 12*time.Second)
+}
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return &notSent{err: err}
 	}
-	if reason := p.GetClosedReason(time.Now()); reason != "" {
+	if reason := p.BeginSend(time.Now()); reason != "" {
 		// Another answer has closed the server since the request was placed.
 		x.pool.Put(conn)
 		return &notSent{err: wrapper.At("check_server", p.ID, fmt.Errorf("%w: %s", errClosed, reason))}
@@ -274,6 +274,9 @@
 		// Another server has this address now.
 		return
 	}
+	if a.Cold > 0 {
+		x.placer.SetCold(p.Server, a.Cold, time.Now())
+	}
 	if a.Leaving {
 		x.placer.SetLeaving(p.Server, time.Now())
 	}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -80,6 +80,8 @@
 	Leaving bool
 	// Pause is how long the server wants no requests of this gateway, 0 if it said nothing.
 	Pause time.Duration
+	// Cold is for how long the server says that it is cold, 0 if it said nothing.
+	Cold time.Duration
 }
 
 // Codec decodes and encodes the headers of a platform.
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -316,7 +316,7 @@
 // no other line names the server.
 func (x *exchange) logPlaced(p *placer.Placed) {
 	log.Info("request placed", "event", "placed", "request", x.ID, "route", x.route.Name, "service", x.service, "server", p.ID,
-		"among", p.ServerCount, "estimate", p.Estimate, "report_age", p.ReportAge(), "sent", x.attempts, "catalog", x.snapshot.Version)
+		"among", p.ServerCount, "cold", p.Cold, "estimate", p.Estimate, "report_age", p.ReportAge(), "sent", x.attempts, "catalog", x.snapshot.Version)
 }
 
 // logAttempt logs an attempt whose answer was not relayed.
--- a/internal/gateway/placer/closure.go
+++ b/internal/gateway/placer/closure.go
@@ -36,6 +36,7 @@
 	asksForPause  closedReason = "asks for a pause"
 	isReturning   closedReason = "returns from a pause"
 	zoneIsClosed  closedReason = "its availability zone is out of use"
+	isAtColdRate  closedReason = "cold and at its rate"
 )
 
 // incarnation identifies one start of a server.
@@ -73,7 +74,6 @@
 	c := p.closures[incarnationOf(&s.Server)]
 	switch {
 	case c == nil:
-		return notClosed
 	case c.leaving:
 		return saysLeaving
 	case now.Before(c.pausedUntil):
@@ -81,6 +81,9 @@
 	case c.returning && c.placed > returnGrowth*c.served:
 		return isReturning
 	}
+	if p.isAtColdRate(s, now) {
+		return isAtColdRate
+	}
 	return notClosed
 }
 
@@ -168,8 +171,12 @@
 			return nil
 		}
 		wait := defaultRetryAfter
-		if r == asksForPause {
+		switch r {
+		case asksForPause:
 			wait = p.closures[incarnationOf(&s.Server)].pausedUntil.Sub(now)
+		case isAtColdRate:
+			wait = p.untilColdRate(s, now)
+		default:
 		}
 		if reason == notClosed || wait < after {
 			reason, after = r, wait
@@ -186,9 +193,13 @@
 func (p *Placed) GetClosedReason(now time.Time) string {
 	p.placer.mu.Lock()
 	defer p.placer.mu.Unlock()
-	// The request itself is in flight already.
-	if r := p.placer.closedReason(p.server, now); r != isReturning {
-		return string(r)
+	return string(p.placedReason(now))
+}
+
+// placedReason leaves out the reasons for which the request itself is counted already.
+func (p *Placed) placedReason(now time.Time) closedReason {
+	if r := p.placer.closedReason(p.server, now); r != isReturning && r != isAtColdRate {
+		return r
 	}
-	return string(notClosed)
+	return notClosed
 }
--- a/internal/gateway/placer/invariant_test.go
+++ b/internal/gateway/placer/invariant_test.go
@@ -13,10 +13,10 @@
 // expects that Place refuses the work, and that assigning it all the same violates the
 // invariant.
 func TestClosedServerIsAssignedNothing(t *testing.T) {
-	for _, reason := range []closedReason{listedLeaving, saysLeaving, asksForPause, isReturning, zoneIsClosed} {
+	for _, reason := range []closedReason{listedLeaving, saysLeaving, asksForPause, isReturning, zoneIsClosed, isAtColdRate} {
 		t.Run(string(reason), func(t *testing.T) {
 			c := qt.New(t)
-			p := newPlainPlacer(1)
+			p, _ := newColdPlacer(1)
 			s := p.byService["desk"][0]
 			switch reason {
 			case notClosed:
@@ -29,6 +29,9 @@
 			case isReturning:
 				p.SetPause(s.Server, time.Millisecond, start.Add(-time.Second))
 				p.closures[incarnationOf(&s.Server)].placed = 1
+			case isAtColdRate:
+				p.SetCold(s.Server, time.Minute, start)
+				sendAll(p, start)
 			case zoneIsClosed:
 				p.SetClosedZones([]string{s.Zone}, start)
 			}
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -72,9 +72,14 @@
 	Reported time.Time
 	// ServerCount is the number of servers of the service that may receive work.
 	ServerCount int
-	decided     time.Time
-	server      *server
-	placer      *Placer
+	// Cold is set if the server is cold.
+	Cold    bool
+	decided time.Time
+	server  *server
+	placer  *Placer
+	// reserved holds the server's state while this request is placed and not yet sent, nil if
+	// its service has no cold terms.
+	reserved *coldness
 }
 
 // ReportAge returns the age of the load report at the time of the decision, or
@@ -165,6 +170,12 @@
 	// closures holds the servers that have said that they leave or want a pause. It outlasts
 	// their entries in the list.
 	closures map[incarnation]*closure
+	// coldTerms holds the services whose cold servers bear a limited rate, cold the state of
+	// their servers. It outlasts their entries in the list.
+	coldTerms map[string]coldTerms
+	cold      map[incarnation]*coldness
+	// shareOf returns how many of the units of a server this gateway may use.
+	shareOf func(units int, server string) int
 	// closedZones are the availability zones out of use.
 	closedZones []string
 	// gatewayCount is the number of gateways that place requests at the same
@@ -172,16 +183,31 @@
 	gatewayCount int
 }
 
+// Option configures a Placer.
+type Option func(*Placer)
+
+// WithShares sets a function that returns how many of the units of a server this gateway may
+// use, beside others that send to it.
+func WithShares(shareOf func(units int, server string) int) Option {
+	return func(p *Placer) { p.shareOf = shareOf }
+}
+
 // New returns a Placer without servers.
-func New() *Placer {
-	return &Placer{
+func New(opts ...Option) *Placer {
+	p := &Placer{
 		servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine),
 		outages: make(map[string]*outage), groups: make(map[string]*group), callersByRoute: make(map[string]*callerStats),
 		stalledUntil: make(map[string]time.Time), closures: make(map[incarnation]*closure), gatewayCount: 1,
+		coldTerms: make(map[string]coldTerms), cold: make(map[incarnation]*coldness),
+		shareOf: func(units int, _ string) int { return units },
+	}
+	for _, opt := range opts {
+		opt(p)
 	}
+	return p
 }
 
-// SetCatalog updates which services run on engines.
+// SetCatalog updates which services run on engines, and what their cold servers bear.
 func (p *Placer) SetCatalog(c *holder.Catalog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,13 +217,23 @@
 			p.engines[c.Services[i].Name] = c.Services[i].Engine
 		}
 	}
+	clear(p.coldTerms)
+	for _, s := range c.Services {
+		if s.ColdRate > 0 {
+			p.coldTerms[s.Name] = coldTerms{start: s.ColdStart, rate: s.ColdRate}
+		}
+	}
+	p.trackCold(true, time.Now())
 }
 
 // SetServers replaces the list of backend servers. State of a server is kept
 // unless the server has restarted.
-func (p *Placer) SetServers(all []lister.Server) {
+func (p *Placer) SetServers(all []lister.Server) { p.setServers(all, time.Now()) }
+
+func (p *Placer) setServers(all []lister.Server, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	isFirst := len(p.servers) == 0
 	present := make(map[string]bool, len(all))
 	for _, s := range all {
 		present[s.ID] = true
@@ -207,6 +243,9 @@
 			continue
 		}
 		p.servers[s.ID] = &server{Server: s}
+		if old != nil {
+			p.restartCold(old, p.servers[s.ID], now)
+		}
 	}
 	for id := range p.servers {
 		if !present[id] {
@@ -219,6 +258,7 @@
 			p.byService[s.Service] = append(p.byService[s.Service], s)
 		}
 	}
+	p.trackCold(isFirst, now)
 }
 
 // SetLoad updates the load of a plain server. Engines are ignored.
@@ -245,6 +285,9 @@
 		}
 		if s.Started.Equal(started) {
 			s.load, s.deltaSinceReport = load, 0
+		} else if started.After(s.Started) {
+			// What is sent to the listed incarnation reaches the new one.
+			p.setColdFromStart(s, load.At)
 		}
 		p.getGroup(load.Group).record(s.Service, addr, load)
 	}
@@ -325,6 +368,7 @@
 	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), ServerCount: len(p.byService[w.Service]), Reported: best.load.At, decided: now, server: best, placer: p}
 	best.inFlight++
 	p.recordPlaced(best)
+	p.reserve(placed, now)
 	best.deltaSinceReport++
 	countPlaced(w.Service)
 	return placed
@@ -335,6 +379,7 @@
 	p.placer.mu.Lock()
 	defer p.placer.mu.Unlock()
 	s := p.server
+	p.release()
 	s.inFlight--
 	s.deltaSinceReport--
 	s.record(outcome, now)
--- a/internal/gateway/placer/zone.go
+++ b/internal/gateway/placer/zone.go
@@ -20,6 +20,8 @@
 		if slices.Contains(before, s.Zone) && !p.isInClosedZone(s) {
 			c := p.getClosure(s.Server, now)
 			c.returning, c.placed, c.served = true, 0, 0
+			// The list may be behind, and the zone's servers have had no work.
+			p.setColdFromStart(s, now)
 		}
 	}
 }
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -23,6 +23,7 @@
 	"siskinfall/internal/fleet/subscriber"
 	"siskinfall/internal/fleet/watcher"
 	"siskinfall/internal/fleet/withdrawer"
+	"siskinfall/internal/gateway/apportioner"
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/evictor"
 	"siskinfall/internal/gateway/forwarder"
@@ -92,7 +93,13 @@
 // NewGateway returns a Gateway that reads the catalog and the servers from source
 // and uses codec for the platform's headers.
 func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
-	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), zones: withdrawer.New(), placer: placer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
+	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), zones: withdrawer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
+	peersAddr := cfg.Listen.Peers
+	if cfg.Gateway.AdvertisePeers.IsValid() {
+		peersAddr = cfg.Gateway.AdvertisePeers
+	}
+	shares := apportioner.New(peersAddr, time.Now())
+	g.placer = placer.New(placer.WithShares(shares.GetShare))
 	g.retryBudget = budgeter.New(budgeter.Bound{
 		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
 	}, time.Now())
@@ -105,15 +112,13 @@
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
 	}
 	g.peers = connector.NewPool(g.hello)
-	peersAddr := cfg.Listen.Peers
-	if cfg.Gateway.AdvertisePeers.IsValid() {
-		peersAddr = cfg.Gateway.AdvertisePeers
-	}
 	g.gossiper = gossiper.New(peersAddr, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.quarantine, func(members, sharers int) {
 		g.retryBudget.SetGateways(sharers)
 		g.placer.SetGateways(members)
 		g.watcher.SetGateways(members)
-	}, gossiper.WithStoreState(g.watcher.IsUpToDate), gossiper.WithZones(g.zones))
+	}, gossiper.WithStoreState(g.watcher.IsUpToDate), gossiper.WithZones(g.zones), gossiper.WithSharers(func(others []netip.AddrPort, isHeard bool) {
+		shares.SetGateways(others, isHeard, time.Now())
+	}))
 	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
 		return g.gossiper.IsAmongFirst(tellersPerSidecar, sidecar.String(), time.Now())
 	})
