--- a/internal/gateway/placer/cold_fleet_test.go
+++ b/internal/gateway/placer/cold_fleet_test.go
@@ -25,8 +25,8 @@
 	fleetColdRate  = 17
 	fleetOverage   = 1.5
 	fleetSlack     = 5
-	fleetTick      = 20 * time.Millisecond
-	fleetDuration  = 60 * time.Second
+	fleetTick      = 50 * time.Millisecond
+	fleetDuration  = 50 * time.Second
 	fleetExchange  = time.Second
 	fleetLoss      = 0.2
 	fleetListDelay = 2 * time.Second
@@ -145,23 +145,23 @@
 	g := f.gateways[i]
 	switch p := f.rng.Float64(); {
 	case !f.isRunning(g):
-	case p < 0.004:
+	case p < 0.010:
 		g.isDown, g.stoppedUntil = true, f.now.Add(500*time.Millisecond+time.Duration(f.rng.Int64N(int64(2*time.Second))))
-	case p < 0.008:
+	case p < 0.020:
 		g.stoppedUntil = f.now.Add(time.Duration(f.rng.Int64N(int64(5 * time.Second))))
-	case p < 0.010 && !f.now.Before(f.cutUntil):
+	case p < 0.025 && !f.now.Before(f.cutUntil):
 		f.cutUntil = f.now.Add(time.Duration(f.rng.Int64N(int64(8 * time.Second))))
 		for _, o := range f.gateways {
 			o.side = f.rng.IntN(2)
 		}
-	case p < 0.0105:
+	case p < 0.027:
 		// Many restart together, and know little of each other.
 		for _, o := range f.gateways {
 			if f.isRunning(o) && f.rng.Float64() < 0.6 {
 				o.isDown, o.stoppedUntil = true, f.now.Add(time.Second)
 			}
 		}
-	case p < 0.0125:
+	case p < 0.032:
 		f.server.Started = f.now
 		for _, o := range f.gateways {
 			o.readAt = f.now.Add(time.Duration(f.rng.Int64N(int64(fleetListDelay))))
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -178,6 +178,8 @@
 	shareOf func(units int, server string) int
 	// closedZones are the availability zones out of use.
 	closedZones []string
+	// zoneWork counts the requests in flight of this gateway in each of them.
+	zoneWork map[string]int
 	// gatewayCount is the number of gateways that place requests at the same
 	// servers, including this one.
 	gatewayCount int
@@ -382,6 +384,7 @@
 	p.release()
 	s.inFlight--
 	s.deltaSinceReport--
+	p.placer.recordZoneWork(s)
 	s.record(outcome, now)
 	if outcome == Rejected && p.placer.engines[s.Service] == nil {
 		// Engines reject work while their group stands still, which says nothing of the rank.
--- a/internal/gateway/placer/zone.go
+++ b/internal/gateway/placer/zone.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/charmbracelet/log"
 )
 
 // Load pattern: the operator takes all servers of an availability zone out of use, while
@@ -16,7 +18,11 @@
 	defer p.mu.Unlock()
 	before := p.closedZones
 	p.closedZones = slices.Clone(closed)
+	p.zoneWork = make(map[string]int)
 	for _, s := range p.servers {
+		if p.isInClosedZone(s) {
+			p.zoneWork[s.Zone] += s.inFlight
+		}
 		if slices.Contains(before, s.Zone) && !p.isInClosedZone(s) {
 			c := p.getClosure(s.Server, now)
 			c.returning, c.placed, c.served = true, 0, 0
@@ -24,6 +30,22 @@
 			p.setColdFromStart(s, now)
 		}
 	}
+	for _, zone := range closed {
+		if !slices.Contains(before, zone) {
+			log.Info("availability zone gets no new requests", "event", "zone_work", "availability_zone", zone, "in_flight", p.zoneWork[zone])
+		}
+	}
+}
+
+// recordZoneWork counts a request that has ended in a zone out of use, and logs the last one.
+func (p *Placer) recordZoneWork(s *server) {
+	if !p.isInClosedZone(s) || p.zoneWork[s.Zone] == 0 {
+		return
+	}
+	p.zoneWork[s.Zone]--
+	if p.zoneWork[s.Zone] == 0 {
+		log.Info("availability zone has no request left", "event", "zone_work", "availability_zone", s.Zone, "in_flight", 0)
+	}
 }
 
 func (p *Placer) isInClosedZone(s *server) bool {
--- a/internal/gateway/placer/zone_test.go
+++ b/internal/gateway/placer/zone_test.go
@@ -85,3 +85,17 @@
 	first.Finish(Served, start.Add(time.Second))
 	c.Check(place(p, start.Add(time.Second)), qt.Not(qt.IsNil))
 }
+
+// TestWorkOfClosedZoneIsCountedToItsEnd guards against an operator who can't see that a zone is
+// empty, or is told so too early.
+func TestWorkOfClosedZoneIsCountedToItsEnd(t *testing.T) {
+	c := qt.New(t)
+	p := newZonedPlacer("zone-a")
+	one, two := place(p, start), place(p, start)
+	p.SetClosedZones([]string{"zone-a"}, start)
+	for _, want := range []int{1, 0} {
+		one.Finish(Served, start)
+		c.Check(p.zoneWork["zone-a"], qt.Equals, want)
+		one = two
+	}
+}
--- a/internal/report/explainer/explainer.go
+++ b/internal/report/explainer/explainer.go
@@ -61,7 +61,7 @@
 var stateEvents = map[string]bool{
 	"outage": true, "outage_over": true, "ejected": true, "server_gone": true, "server": true, "server_lapsed": true,
 	"engine_state": true, "catalog": true, "store_lost": true, "store_regained": true, "peer_lost": true, "peer_regained": true,
-	"map_change": true, "map_recovery": true, "map_recovered": true, "crash": true, "zone_closed": true, "zone_opened": true, "server_cold": true, "start": true, "stop": true, "log_dropped": true,
+	"map_change": true, "map_recovery": true, "map_recovered": true, "crash": true, "zone_closed": true, "zone_opened": true, "zone_work": true, "server_cold": true, "start": true, "stop": true, "log_dropped": true,
 }
 
 // Read reads the JSON log lines of a process. Text before the first brace of a line
