Placer, withdrawer: own key for the zone in log lines

A line of a gateway has its own zone under availability_zone, so that the zone that it is about was a second value of the same key. No behaviour changes.

--- a/internal/fleet/gossiper/zone_test.go
+++ b/internal/fleet/gossiper/zone_test.go
@@ -143,7 +143,7 @@
 		}
 		for step, closed := range [][]string{nil, {"a"}, {"a", "b"}, {"b"}, nil, {"a"}} {
 			first := step % 2 * zoneGateways / 2
-			var reading []int
+			reading := make([]int, 0, zoneGateways/2)
 			for i := range zoneGateways / 2 {
 				reading = append(reading, first+i)
 			}
--- a/internal/fleet/withdrawer/withdrawer.go
+++ b/internal/fleet/withdrawer/withdrawer.go
@@ -146,13 +146,13 @@
 	}
 	for _, zone := range after {
 		if !slices.Contains(before, zone) {
-			log.Info("availability zone taken out of use", "event", "zone_closed", "availability_zone", zone,
+			log.Info("availability zone taken out of use", "event", "zone_closed", "zone", zone,
 				"era", z.position.Era, "revision", z.position.Revision, "source", source)
 		}
 	}
 	for _, zone := range before {
 		if !slices.Contains(after, zone) {
-			log.Info("availability zone back in use", "event", "zone_opened", "availability_zone", zone,
+			log.Info("availability zone back in use", "event", "zone_opened", "zone", zone,
 				"era", z.position.Era, "revision", z.position.Revision, "source", source)
 		}
 	}
--- a/internal/gateway/placer/cold.go
+++ b/internal/gateway/placer/cold.go
@@ -145,7 +145,7 @@
 	if cold {
 		coldServers.Inc()
 	}
-	log.Info("state of backend server changed", "event", "server_cold", "server", s.ID, "service", s.Service, "availability_zone", s.Zone,
+	log.Info("state of backend server changed", "event", "server_cold", "server", s.ID, "service", s.Service, "zone", s.Zone,
 		"cold", cold, "for", max(c.until.Sub(now), 0), "share", p.shareOf(terms.units(), s.ID), "units", terms.units())
 	return cold
 }
--- a/internal/gateway/placer/zone.go
+++ b/internal/gateway/placer/zone.go
@@ -32,7 +32,7 @@
 	}
 	for _, zone := range closed {
 		if !slices.Contains(before, zone) {
-			log.Info("availability zone gets no new requests", "event", "zone_work", "availability_zone", zone, "in_flight", p.zoneWork[zone])
+			log.Info("availability zone gets no new requests", "event", "zone_work", "zone", zone, "in_flight", p.zoneWork[zone])
 		}
 	}
 }
@@ -44,7 +44,7 @@
 	}
 	p.zoneWork[s.Zone]--
 	if p.zoneWork[s.Zone] == 0 {
-		log.Info("availability zone has no request left", "event", "zone_work", "availability_zone", s.Zone, "in_flight", 0)
+		log.Info("availability zone has no request left", "event", "zone_work", "zone", s.Zone, "in_flight", 0)
 	}
 }
 
