Config check: what a configuration gets wrong before it is sent

What operators saw: a route that nothing can match, a key of two client accounts or an objective above its timeout showed only once the version was in force, as refusals; an invalid route was left out with a log line at each gateway. Cause: the only reader of a configuration was the gateways' decoder. The decoder's golden file is unchanged.

--- a/cmd/siskinfall/main.go
+++ b/cmd/siskinfall/main.go
@@ -1,7 +1,7 @@
 // Command siskinfall is a load balancer for expert-parallel model groups and
 // other services.
 //
-// Exit codes: 0 success, 1 failure, 2 wrong settings, ticket or arguments,
+// Exit codes: 0 success, 1 failure, 2 wrong settings, configuration, ticket or arguments,
 // 3 refused by the entry instance, 4 a ticket is not in force everywhere yet.
 package main
 
@@ -34,6 +34,7 @@
 	Sidecar   *sidecarCmd   `arg:"subcommand:sidecar" help:"run the sidecar of a model engine on the users' platform"`
 	Dev       *devCmd       `arg:"subcommand:dev" help:"run a small demo fleet in one process"`
 	Ticket    *ticketCmd    `arg:"subcommand:ticket" help:"apply, show and list change tickets"`
+	Config    *configCmd    `arg:"subcommand:config" help:"check a configuration before it is sent"`
 	Status    *statusCmd    `arg:"subcommand:status" help:"show instances, their configuration and which of them lag"`
 	Report    *reportCmd    `arg:"subcommand:report" help:"show reports"`
 	Explain   *explainCmd   `arg:"subcommand:explain" help:"show the decisions on a recent request or an expert map"`
@@ -67,7 +68,7 @@
 
 func exitCode(err error) int {
 	switch {
-	case loader.IsInvalid(err), registrar.IsInvalidTicket(err):
+	case loader.IsInvalid(err), registrar.IsInvalidTicket(err), errors.Is(err, errInvalidConfig):
 		return exitInvalid
 	case caller.IsProblem(err):
 		return exitRefused
