--- a/cmd/siskinfall/config.go
+++ b/cmd/siskinfall/config.go
@@ -96,11 +96,11 @@
 	if addr, err := netip.ParseAddrPort(c.Against); err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		inForce, _, err := platform.NewStore(addr).GetCatalog(ctx)
-		if err == nil && inForce == nil {
-			inForce = &holder.Catalog{}
+		o, _, err := platform.NewStore(addr).GetOperator(ctx)
+		if err == nil && o.Catalog == nil {
+			o.Catalog = &holder.Catalog{}
 		}
-		return inForce, err
+		return o.Catalog, err
 	}
 	data, err := os.ReadFile(c.Against)
 	if err != nil {
