Gossiper: the losses of a cut zone were sent whole in every exchange

Cause: gateways send all losses in each exchange while fingerprints differ. When a zone is cut, each gateway sees some of hundreds of losses, all fingerprints differ for seconds, and every pair sends every loss both ways. Change: fingerprints by bucket; a gateway of a large fleet begins one comparison in 250 ms, both sides send only the losses in buckets that differ. A requester of an older version is answered as before. Small fleets compare with each peer as before.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -89,6 +89,8 @@
 	fetches fetches
 	// isStoreAvailable reports whether this gateway reads the store itself.
 	isStoreAvailable func() bool
+	// lossesComparedAt is when this gateway last began to compare losses.
+	lossesComparedAt time.Time
 	// encoded is the catalog of encodedVersion, compressed.
 	encoded        []byte
 	encodedVersion uint64
@@ -247,13 +249,10 @@
 	}
 }
 
-// newRequest returns a request to a peer, with the losses of this gateway unless the peer had
-// the same ones in its last answer.
-func (g *Gossiper) newRequest(peerFingerprint uint64, now time.Time) *encoder.GatewaySync {
+// newRequest returns a request to a peer, with the losses that it lacked by its last answer.
+func (g *Gossiper) newRequest(last *encoder.GatewaySync, now time.Time) *encoder.GatewaySync {
 	m := g.newSync(now)
-	if m.GetLossesFingerprint() != peerFingerprint {
-		m.Losses = encodeLosses(g.losses.Export(now), now)
-	}
+	g.addLosses(m, last, now)
 	m.ClosedZones = g.encodeZones(false)
 	return m
 }
@@ -265,9 +264,7 @@
 	if request.GetGatewaysDigest() != m.GetGatewaysDigest() {
 		m.Gateways = g.liveGateways(now)
 	}
-	if request.GetLossesFingerprint() != m.GetLossesFingerprint() {
-		m.Losses = encodeLosses(g.losses.Export(now), now)
-	}
+	g.answerLosses(m, request, now)
 	m.ClosedZones = g.encodeZones(request.GetClosedZones() != nil)
 	if c := g.catalog.Get(); c != nil && c.Version > request.GetCatalogVersion() && (!request.GetPulls() || request.GetWantsCatalog()) {
 		data, err := g.encodeCatalog(c, request.GetPulls())
--- a/internal/fleet/gossiper/loss.go
+++ b/internal/fleet/gossiper/loss.go
@@ -10,6 +10,63 @@
 	"siskinfall/internal/wire/encoder"
 )
 
+// Load pattern: many servers are lost at once, as in a zone that is cut off, and each gateway
+// learns of hundreds of losses from tens of others. Gateways compare fingerprints of their
+// losses by bucket with one peer at a time, and send what is in the buckets that differ: at the
+// next exchange both have the rest from others.
+
+// lossInterval is the pause between two comparisons of losses that a gateway of a large fleet
+// begins. Each doubles the gateways that know a loss.
+const lossInterval = 250 * time.Millisecond
+
+// takeLossTurn reports whether this gateway begins a comparison of losses now, and records it
+// if so. Until the first answers are there, and in a small fleet, it does so with each peer.
+func (g *Gossiper) takeLossTurn(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	isLarge := len(g.members) > scaleGateways && now.Sub(g.started) > firstAnswersTimeout
+	if isLarge && now.Sub(g.lossesComparedAt) < lossInterval {
+		return false
+	}
+	g.lossesComparedAt = now
+	return true
+}
+
+// addLosses adds the fingerprints of this gateway's losses to a request if the peer had other
+// losses in its last answer, which is nil before the first one. After an answer with
+// fingerprints it also adds the losses that the peer lacks.
+func (g *Gossiper) addLosses(m, last *encoder.GatewaySync, now time.Time) {
+	m.ComparesBuckets = true
+	theirs := quarantiner.Buckets(last.GetLossesBuckets())
+	switch {
+	case last != nil && m.GetLossesFingerprint() == last.GetLossesFingerprint():
+	case theirs.IsValid():
+		m.LossesBuckets = g.losses.GetBuckets(now)
+		m.Losses = encodeLosses(g.losses.ExportDifferent(theirs, now), now)
+	case last == nil || g.takeLossTurn(now):
+		m.LossesBuckets = g.losses.GetBuckets(now)
+	}
+}
+
+// answerLosses adds the losses to an answer that a requester which compares them lacks. One of
+// an older version is sent all.
+func (g *Gossiper) answerLosses(m, request *encoder.GatewaySync, now time.Time) {
+	theirs := quarantiner.Buckets(request.GetLossesBuckets())
+	switch {
+	case request.GetLossesFingerprint() == m.GetLossesFingerprint():
+	case theirs.IsValid():
+		m.LossesBuckets = g.losses.GetBuckets(now)
+		m.Losses = encodeLosses(g.losses.ExportDifferent(theirs, now), now)
+	case !request.GetComparesBuckets():
+		m.Losses = encodeLosses(g.losses.Export(now), now)
+	}
+}
+
+// isAhead reports whether a peer lacks losses by the fingerprints in its answer.
+func (g *Gossiper) isAhead(answer *encoder.GatewaySync, now time.Time) bool {
+	return len(answer.GetLossesBuckets()) > 0 && answer.GetLossesFingerprint() != g.losses.Fingerprint(now)
+}
+
 // maxAgeMillis bounds the age of a loss that a peer may report.
 const maxAgeMillis = uint64(24 * time.Hour / time.Millisecond)
 
--- a/internal/fleet/gossiper/poll.go
+++ b/internal/fleet/gossiper/poll.go
@@ -69,10 +69,12 @@
 // poll exchanges state with one gateway until a call fails. State that is due is fetched
 // without a pause.
 func (g *Gossiper) poll(ctx context.Context, addr netip.AddrPort, call func(*encoder.GatewaySync) (*encoder.GatewaySync, error)) error {
-	// last is the peer's last answer.
-	last := &encoder.GatewaySync{}
+	// last is the peer's last answer, nil before the first one.
+	var last *encoder.GatewaySync
+	// repeated is set if this exchange follows another one without a pause, for losses.
+	repeated := false
 	for ctx.Err() == nil {
-		request := g.newRequest(last.GetLossesFingerprint(), time.Now())
+		request := g.newRequest(last, time.Now())
 		fetched := g.fetches.begin(g.getLag(last, time.Now()), time.Now())
 		request.Pulls, request.WantsCatalog, request.WantsServers = true, fetched[partCatalog], fetched[partServers]
 		answer, err := call(request)
@@ -85,6 +87,11 @@
 		if fetched == (parts{}) && g.fetches.getDue(g.getLag(last, time.Now()), time.Now()) != (parts{}) {
 			continue
 		}
+		if repeated = !repeated && g.isAhead(last, time.Now()); repeated {
+			continue
+		}
+		// Fingerprints are compared at once or not at all.
+		last.LossesBuckets = nil
 		g.setTried(addr)
 		sleeper.Sleep(ctx, g.currentSyncInterval())
 	}
--- a/internal/fleet/gossiper/zone_test.go
+++ b/internal/fleet/gossiper/zone_test.go
@@ -25,7 +25,7 @@
 
 // exchangeOnce lets one gateway poll another.
 func exchangeOnce(c *qt.C, from, to *Gossiper) {
-	request := from.newRequest(0, time.Now())
+	request := from.newRequest(nil, time.Now())
 	to.mergeZones(request, from.own.String(), time.Now())
 	answer, err := to.answer(request, time.Now())
 	c.Assert(err, qt.IsNil)
@@ -59,5 +59,5 @@
 	started, zones := newZoneGossiper("127.0.0.3:80", 0)
 	exchangeOnce(c, started, peer)
 	c.Check(zones.IsKnown(), qt.IsTrue)
-	c.Check(started.newRequest(0, time.Now()).GetClosedZones(), qt.IsNil)
+	c.Check(started.newRequest(nil, time.Now()).GetClosedZones(), qt.IsNil)
 }
--- a/internal/gateway/quarantiner/exchange.go
+++ b/internal/gateway/quarantiner/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"maps"
 	"slices"
 	"time"
 
@@ -21,12 +20,88 @@
 	Losses       []Loss
 }
 
+// Fingerprint buckets: requests are divided among them by their digests, so that sets that
+// differ in a few exchange these only.
+const (
+	// recordsPerBucket is the mean number of requests in a bucket.
+	recordsPerBucket = 2
+	// minBuckets and maxBuckets bound the number of buckets; both are powers of two.
+	minBuckets = 8
+	maxBuckets = 256
+)
+
+// Buckets are fingerprints of the losses by the digest of the request; the length is a power
+// of two.
+type Buckets []uint64
+
+// indexOf returns the bucket of a digest.
+func (b Buckets) indexOf(digest uint64) int { return int(digest % uint64(len(b))) }
+
+// IsValid reports whether the buckets of another gateway can be compared.
+func (b Buckets) IsValid() bool {
+	return len(b) >= minBuckets && len(b) <= maxBuckets && len(b)&(len(b)-1) == 0
+}
+
+// GetBuckets returns the fingerprints of the losses in as many buckets as suit their number.
+func (s *Set) GetBuckets(now time.Time) Buckets {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := minBuckets
+	for n < maxBuckets && n*recordsPerBucket < len(s.entries) {
+		n *= 2
+	}
+	return s.sum(n, now)
+}
+
+// Fingerprint returns a hash of all losses, but for the ages. It is 0 without any.
+func (s *Set) Fingerprint(now time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sum(1, now)[0]
+}
+
+// sum returns the fingerprints of the losses in n buckets.
+func (s *Set) sum(n int, now time.Time) Buckets {
+	b := make(Buckets, n)
+	for digest, e := range s.entries {
+		for _, l := range e.losses {
+			if now.Sub(l.At) <= crashTTL {
+				b[b.indexOf(digest)] += l.hash(digest)
+			}
+		}
+	}
+	return b
+}
+
 // Export returns the losses that count or are explained, for other gateways.
 func (s *Set) Export(now time.Time) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.export(func(uint64) bool { return true }, now)
+}
+
+// ExportDifferent returns the losses in the buckets that differ from those of another
+// gateway, which must be valid.
+func (s *Set) ExportDifferent(other Buckets, now time.Time) []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.sum(len(other), now)
+	return s.export(func(digest uint64) bool {
+		i := own.indexOf(digest)
+		return own[i] != other[i]
+	}, now)
+}
+
+// export returns the losses of the requests for which include holds.
+func (s *Set) export(include func(digest uint64) bool, now time.Time) []Record {
 	s.expire(now)
-	digests := slices.SortedFunc(maps.Keys(s.entries), func(a, b uint64) int {
+	var digests []uint64
+	for digest := range s.entries {
+		if include(digest) {
+			digests = append(digests, digest)
+		}
+	}
+	slices.SortFunc(digests, func(a, b uint64) int {
 		if c := compareBool(s.entries[a].isConvicted(now), s.entries[b].isConvicted(now)); c != 0 {
 			return c
 		}
@@ -45,21 +120,6 @@
 	return records
 }
 
-// Fingerprint returns a hash of what Export returns, but for the ages. It is 0 without any.
-func (s *Set) Fingerprint(now time.Time) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	sum := uint64(0)
-	for digest, e := range s.entries {
-		for _, l := range e.losses {
-			if now.Sub(l.At) <= crashTTL {
-				sum += l.hash(digest)
-			}
-		}
-	}
-	return sum
-}
-
 func (l *Loss) hash(digest uint64) uint64 {
 	b := make([]byte, 0, 26)
 	for _, n := range []uint64{digest, l.Observer, l.Number} {
