--- a/internal/group/commander/fake_test.go
+++ b/internal/group/commander/fake_test.go
@@ -53,6 +53,8 @@
 	epoch  uint64
 	step   uint64
 	idle   bool
+	// broken is true while the group can't run passes. Its engines still carry out orders.
+	broken bool
 	ranks  []*fakeRank
 	// history holds the states from which stale reads are answered.
 	history   [][]Status
@@ -118,7 +120,7 @@
 }
 
 func (g *fakeGroup) pass() {
-	if g.idle {
+	if g.idle || g.broken {
 		return
 	}
 	for _, r := range g.ranks {
@@ -157,6 +159,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.epoch++
+	g.broken = false
 	for r, old := range g.ranks {
 		g.ranks[r] = &fakeRank{experts: rankExperts(randomPlacement(rand.New(rand.NewPCG(1, 1))), r), sequence: old.sequence, highestVersion: old.highestVersion}
 	}
@@ -165,7 +168,7 @@
 func (g *fakeGroup) status(rank int) Status {
 	r := g.ranks[rank]
 	s := Status{
-		Addr: rankAddr(rank), Group: "g", Epoch: g.epoch, Rank: rank, Size: testRanks, Step: g.step, Version: r.version,
+		Addr: rankAddr(rank), Group: "g", Epoch: g.epoch, Rank: rank, Size: testRanks, Broken: g.broken, Step: g.step, Version: r.version,
 		Busy: r.busy, Sequence: r.sequence, Running: 1, Slowness: 1, Experts: r.experts,
 	}
 	if r.prepared != nil {
