Keeper: the demand of a group outlives its leader

A leader that takes over had to learn the demand from the counts, which takes two samples under load. An estimate that is kept is replaced only once there are enough counts, so that the noise of a few passes does not lead to a change of the map.

Sidecars can also be read without their engine being called instead, for a group that can't run passes.

--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -154,9 +154,16 @@
 // Query says what to read besides the status.
 type Query struct {
 	LeaderRank int
+	// Group is the leader's group, empty if the engine is known to be in it.
+	Group      string
 	WithCounts bool
 	// KnownVersion is the version of a map that the reader has; Experts is left out for it.
 	KnownVersion uint64
+	// SidecarOnly is true if an engine whose sidecar does not answer is not to be called
+	// instead. The sidecar is called also if it did not answer before.
+	SidecarOnly bool
+	// WantsDemand asks a sidecar for the demand that it keeps, if it has one.
+	WantsDemand bool
 }
 
 // Transport reaches the engines of a group. After an error other than ErrConflict the
--- a/internal/group/messenger/codec.go
+++ b/internal/group/messenger/codec.go
@@ -15,12 +15,13 @@
 
 // Names of the orders on the wire.
 const (
-	operationPrepare = "prepare"
-	operationKeep    = "keep"
-	operationArm     = "arm"
-	operationDisarm  = "disarm"
-	operationHold    = "hold"
-	operationRelease = "release"
+	operationPrepare    = "prepare"
+	operationKeep       = "keep"
+	operationKeepDemand = "keep_demand"
+	operationArm        = "arm"
+	operationDisarm     = "disarm"
+	operationHold       = "hold"
+	operationRelease    = "release"
 )
 
 func isConflict(err error) bool { return errors.Is(err, commander.ErrConflict) }
--- a/internal/group/messenger/messenger.go
+++ b/internal/group/messenger/messenger.go
@@ -12,6 +12,7 @@
 
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/group/commander"
+	"siskinfall/internal/group/keeper"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
 )
@@ -37,6 +38,8 @@
 
 // Messenger implements commander.Transport. It is safe for concurrent use.
 type Messenger struct {
+	// Keeper keeps the latest demand that this sidecar or another one has observed.
+	keeper.Keeper
 	own         netip.AddrPort
 	sidecarPort uint16
 	sidecars    Caller
@@ -98,13 +101,15 @@
 	if engine == m.own {
 		return m.engine.Read(ctx, q, true)
 	}
-	if m.silent.isSilent(engine, time.Now()) {
+	if !q.SidecarOnly && m.silent.isSilent(engine, time.Now()) {
 		return m.getRemoteEngine(engine).Read(ctx, q, false)
 	}
 	sidecarCtx, cancel := withSidecarTimeout(ctx)
 	defer cancel()
 	state := &encoder.EngineState{}
-	query := &encoder.EngineQuery{LeaderRank: uint32(q.LeaderRank), WithCounts: q.WithCounts, KnownVersion: q.KnownVersion}
+	query := &encoder.EngineQuery{
+		LeaderRank: uint32(q.LeaderRank), Group: q.Group, WithCounts: q.WithCounts, KnownVersion: q.KnownVersion, WantsDemand: q.WantsDemand,
+	}
 	if q.WithCounts {
 		query.KnownCounts = m.receivedCounts.getID(engine)
 	}
@@ -112,9 +117,13 @@
 	if err == nil && state.GetAddress() != "" {
 		m.silent.remove(engine)
 		m.receivedCounts.decode(engine, state)
+		m.keepDemand(state.GetDemand())
 		return decodeStatus(state)
 	}
 	m.dropOnTimeout(engine, err)
+	if q.SidecarOnly {
+		return nil, wrapper.At("read_sidecar", engine.String(), err)
+	}
 	return m.getRemoteEngine(engine).Read(ctx, q, false)
 }
 
@@ -222,10 +231,17 @@
 		}
 		state := encodeStatus(status)
 		m.sentCounts.encode(state, kind.EngineQuery.GetKnownCounts())
+		if kind.EngineQuery.GetWantsDemand() {
+			state.Demand = m.encodeDemand(status.Group)
+		}
 		return state, nil
 	case *encoder.Open_EngineOrder:
-		if kind.EngineOrder.GetOperation() == operationKeep {
+		switch kind.EngineOrder.GetOperation() {
+		case operationKeep:
 			return newResult(m.keep(ctx, kind.EngineOrder)), nil
+		case operationKeepDemand:
+			m.keepDemand(kind.EngineOrder.GetDemand())
+			return newResult(nil), nil
 		}
 		d, err := decodeOrder(kind.EngineOrder, m.received)
 		if errors.Is(err, errNeedsFullMap) {
--- a/internal/group/sampler/sampler.go
+++ b/internal/group/sampler/sampler.go
@@ -16,6 +16,9 @@
 	// mixed is true if the estimate comes from a sample during which demand changed: a part
 	// of it is of the old demand.
 	mixed bool
+	// pending holds the choices since the estimate was kept from an earlier epoch or leader,
+	// by layer set and expert. It is nil once they have replaced that estimate.
+	pending [][]float64
 }
 
 type sample struct {
@@ -65,6 +68,12 @@
 }
 
 func (d *Demand) update(shares [][]float64) bool {
+	if d.pending != nil {
+		if !d.addPending(shares) {
+			return false
+		}
+		shares, d.pending = d.pending, nil
+	}
 	hasCounts := false
 	for s := range shares {
 		total := 0.0
