Balancer: the first change of an epoch follows the kept demand

Callers saw their answers late for four to six seconds after a zone cut had ended. The group runs under its initial map then, and its leader had to learn the demand first if it was not the one from before the cut; several sidecars led at once, since none had been read during the cut and the leader called the engines of those that had not answered instead of them.

While the group can't run passes, the leader now reads the other sidecars, also silent ones, so that one leads when the group opens, and reads the counts with which the epoch begins. It changes the map as soon as the group opens, also before the first request, planned from the kept demand; a change that fails is tried again after 50 ms. A leader asks itself once more whether it leads before it plans, and reads of another group's leader no longer delay a takeover.

TestOpenedGroupFollowsKeptDemand opens groups of 12 and 32 ranks after cuts of 0.5, 2 and 10 s, three times in series, whose leader lives, is restarted or does not come back, with the demand moved or not.

--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -64,14 +64,23 @@
 	engine  func() *holder.Engine
 	// lastLowerRead is when a lower rank last read this one, in Unix nanoseconds.
 	lastLowerRead atomic.Int64
-	// rank is the rank of the own engine, -1 while it is not known.
-	rank atomic.Int64
+	// rank is the rank of the own engine, -1 while it is not known, and group its group, nil
+	// then.
+	rank  atomic.Int64
+	group atomic.Pointer[string]
 	// placement is the one that this leader has last seen in force, with the version
 	// knownVersion; nil if it is not known.
 	placement    shifter.Placement
 	knownVersion uint64
 	demand       *sampler.Demand
 	shape        [2]int
+	// observedAt is when the demand was last estimated from new counts, sharedAt when the one
+	// that was last sent to other sidecars was.
+	observedAt, sharedAt time.Time
+	// memory keeps the demand between epochs and leaders.
+	memory Memory
+	// opening is the state of a group that can't run passes or has begun to.
+	opening opening
 	// snapshot is the latest snapshot of all ranks, made at snapshotAt; lastStep is the latest
 	// pass seen in a sample.
 	snapshot   commander.Group
@@ -86,15 +95,22 @@
 }
 
 // New returns a Balancer of the sidecar beside the engine at own.
-func New(t commander.Transport, own netip.AddrPort, engines func() []netip.AddrPort, engine func() *holder.Engine) *Balancer {
-	b := &Balancer{transport: t, commander: commander.New(t, rand.Uint64), own: own, engines: engines, engine: engine}
+func New(t commander.Transport, own netip.AddrPort, engines func() []netip.AddrPort, engine func() *holder.Engine, opts ...Option) *Balancer {
+	b := &Balancer{transport: t, commander: commander.New(t, rand.Uint64), own: own, engines: engines, engine: engine, memory: &ownMemory{}}
 	b.rank.Store(-1)
 	b.lastLowerRead.Store(time.Now().UnixNano())
+	for _, opt := range opts {
+		opt(b)
+	}
 	return b
 }
 
-// RecordLeaderRead records that a leader of the given rank has read this sidecar's engine.
-func (b *Balancer) RecordLeaderRead(leaderRank int, now time.Time) {
+// RecordLeaderRead records that a leader of the given rank has read this sidecar's engine. The
+// group is empty if the leader knows that this engine is in its own.
+func (b *Balancer) RecordLeaderRead(leaderRank int, group string, now time.Time) {
+	if own := b.group.Load(); group != "" && own != nil && *own != group {
+		return
+	}
 	if int64(leaderRank) < b.rank.Load() {
 		b.lastLowerRead.Store(now.UnixNano())
 	}
@@ -109,12 +125,14 @@
 }
 
 // shouldLead reports whether no lower rank has read this one for long enough.
-func (b *Balancer) shouldLead(rank, size int, now time.Time) bool {
+func (b *Balancer) shouldLead(own *commander.Status, now time.Time) bool {
+	rank, size := own.Rank, own.Size
 	sinceRead := now.Sub(time.Unix(0, b.lastLowerRead.Load()))
 	lead := rank == 0 || sinceRead > takeoverDelay(rank, size)
 	if lead != b.leading {
 		log.Info("leadership changed", "event", "leader", "leads", lead, "rank", rank, "quiet", sinceRead)
 		b.leading = lead
+		b.keepDemand(own.Group)
 		b.demand = nil
 		b.delay.start(now)
 		if !lead {
@@ -143,11 +161,21 @@
 		return roundInterval
 	}
 	b.rank.Store(int64(own.Rank))
+	b.group.Store(&own.Group)
 	b.commander.Observe(own)
 	engine := b.engine()
-	if own.Broken || engine == nil || engine.LayerSets == 0 || !b.shouldLead(own.Rank, own.Size, time.Now()) {
+	if engine == nil || engine.LayerSets == 0 {
+		return roundInterval
+	}
+	if own.Broken {
+		return b.awaitOpening(ctx, own, engine)
+	}
+	b.observeOpening(own, time.Now())
+	if !b.shouldLead(own, time.Now()) {
 		return roundInterval
 	}
+	b.adoptDemand(own.Group, engine)
+	b.shareIfDue(ctx, own)
 	if own.Running == 0 {
 		// An idle group has no demand to follow.
 		b.delay.start(time.Now())
@@ -165,8 +193,8 @@
 	}
 	if g == nil {
 		var ok bool
-		if g, ok = b.readSnapshot(ctx, own); !ok {
-			return roundInterval
+		if g, ok = b.readSnapshot(ctx, own, engine); !ok {
+			return b.retryInterval()
 		}
 	}
 	if g.FirstHolder() != nil {
@@ -177,17 +205,17 @@
 		// The change comes into force at the pass that it is armed for.
 		return heldPassPollInterval
 	}
-	if sampler.ReadsAllRanks(own.Size) && !b.observe(g, engine) || !b.updatePlacement(g, engine) {
+	if sampler.ReadsAllRanks(own.Size) && !b.observe(g) && !b.canPlanOpening() || !b.updatePlacement(g, engine) {
 		return roundInterval
 	}
-	if b.demand == nil || b.demand.Get() == nil {
+	if b.demand.Get() == nil {
 		return roundInterval
 	}
-	if b.demand.IsMixed() {
+	if b.demand.IsMixed() && !b.canPlanOpening() {
 		return settleInterval
 	}
 	b.balance(ctx, g, own, engine)
-	return roundInterval
+	return b.retryInterval()
 }
 
 // sampleResult says what to do after a sample of a large group.
@@ -240,9 +268,9 @@
 	case stalled:
 		// A leader may hold a pass.
 		return needsSnapshot{}
-	case !b.observe(statuses, engine):
+	case !b.observe(statuses) && !b.canPlanOpening():
 		return noChange{pause: sampleInterval}
-	case b.demand.IsMixed():
+	case b.demand.IsMixed() && !b.canPlanOpening():
 		return noChange{pause: settleInterval}
 	case !b.isSkewed(engine):
 		return noChange{pause: sampleInterval}
@@ -251,8 +279,11 @@
 }
 
 // readSnapshot reads all ranks of the own group.
-func (b *Balancer) readSnapshot(ctx context.Context, own *commander.Status) (commander.Group, bool) {
-	q := commander.Query{LeaderRank: own.Rank, WithCounts: sampler.ReadsAllRanks(own.Size), KnownVersion: b.knownVersion}
+func (b *Balancer) readSnapshot(ctx context.Context, own *commander.Status, engine *holder.Engine) (commander.Group, bool) {
+	q := commander.Query{
+		LeaderRank: own.Rank, Group: own.Group, WithCounts: sampler.ReadsAllRanks(own.Size), KnownVersion: b.knownVersion, WantsDemand: b.wantsDemand(own.Group, engine),
+		SidecarOnly: b.mustAnnounce(),
+	}
 	var members []*commander.Status
 	start := time.Now()
 	for _, s := range b.commander.ReadAll(ctx, b.engines(), q) {
@@ -323,7 +354,7 @@
 
 // balance plans a map and changes to it if the gain is worth the copies.
 func (b *Balancer) balance(ctx context.Context, g commander.Group, own *commander.Status, engine *holder.Engine) {
-	if !b.isSkewed(engine) {
+	if !b.isSkewed(engine) || !b.shouldLead(own, time.Now()) {
 		return
 	}
 	start := time.Now()
@@ -332,6 +363,7 @@
 	copying := b.copyTime(plan, engine)
 	if plan.Before-plan.After < max(minSkewGain, copySlowdown*copying.Seconds()/demandDuration.Seconds()) {
 		b.delay.setFollowed()
+		b.opening.isPending = false
 		return
 	}
 	version := b.commander.NewVersion(g, own.Rank, time.Now())
@@ -342,11 +374,15 @@
 	if err == nil {
 		b.placement, b.knownVersion = plan.Placement, version
 		b.delay.setFollowed()
+		b.opening.isPending = false
 	}
 	countChange(err, time.Since(start), planTime)
 	log.Info("map change", "event", "map_change", "group", own.Group, "epoch", g.Epoch(), "version", version, "pass", g.Step(),
 		"skew_before", plan.Before, "skew_after", plan.After, "copies", plan.Copies, "copy_time", copying, "planned_in", planTime,
-		"took", time.Since(start), "error", err)
+		"took", time.Since(start), "since_opening", b.opening.since(time.Now()), "error", err)
+	if err == nil {
+		b.shareDemand(ctx, own)
+	}
 }
 
 // copyTime estimates how long the copies of a plan take: the sum, over the layer sets, of
@@ -361,20 +397,20 @@
 
 // observe adds the counts of ranks to the demand. It reports whether there were new counts
 // and a demand to plan for.
-func (b *Balancer) observe(statuses []*commander.Status, engine *holder.Engine) bool {
-	shape := [2]int{engine.LayerSets, engine.Experts}
-	if b.demand == nil || b.shape != shape {
-		b.demand, b.shape = sampler.New(engine.LayerSets, engine.Experts), shape
-	}
+func (b *Balancer) observe(statuses []*commander.Status) bool {
 	counts := make(map[string][]uint64, len(statuses))
 	epochs := make(map[string]uint64, len(statuses))
 	for _, s := range statuses {
-		if len(s.Counts) > 0 {
+		if s != nil && len(s.Counts) > 0 {
 			counts[s.Addr.String()] = s.Counts
 			epochs[s.Addr.String()] = uint64(s.Started.UnixMilli())
 		}
 	}
-	return b.demand.Observe(counts, epochs) && b.demand.Get() != nil
+	if !b.demand.Observe(counts, epochs) {
+		return false
+	}
+	b.observedAt = time.Now()
+	return b.demand.Get() != nil
 }
 
 // updatePlacement sets the placement to the one in force, and reports whether that is known.
--- a/internal/process/launcher/sidecar.go
+++ b/internal/process/launcher/sidecar.go
@@ -45,7 +45,8 @@
 	s := &Sidecar{cfg: cfg, hello: hello, pool: connector.NewPool(hello)}
 	s.messenger = messenger.New(cfg.Sidecar.Backend, cfg.Listen.Peers.Port(), s.pool, newEngine)
 	s.publisher = subscriber.NewPublisher(s.messenger.OwnEngine(), cfg.Sidecar.Backend)
-	s.balancer = balancer.New(s.messenger, cfg.Sidecar.Backend, s.publisher.GetEngineAddrs, s.publisher.GetEngineConfig)
+	s.balancer = balancer.New(s.messenger, cfg.Sidecar.Backend, s.publisher.GetEngineAddrs, s.publisher.GetEngineConfig,
+		balancer.WithMemory(s.messenger))
 	return s
 }
 
@@ -79,7 +80,7 @@
 	case *encoder.Open_EngineWatch:
 		err = s.publisher.Serve(ctx, peer.GetInstance(), st)
 	case *encoder.Open_EngineQuery:
-		s.balancer.RecordLeaderRead(int(k.EngineQuery.GetLeaderRank()), time.Now())
+		s.balancer.RecordLeaderRead(int(k.EngineQuery.GetLeaderRank()), k.EngineQuery.GetGroup(), time.Now())
 		err = s.messenger.Serve(ctx, open, st)
 	case *encoder.Open_EngineOrder:
 		err = s.messenger.Serve(ctx, open, st)
