Balancer: a skew that differs from the predicted one is logged

A change is made for the skew that its plan predicts. Whether it brought that was not compared, so a demand that was misjudged could not be told from one that moved. The first skew that is known after a change is now compared with the prediction; a difference of more than 0.2 is logged and counted.

--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -81,6 +81,8 @@
 	memory Memory
 	// opening is the state of a group that can't run passes or has begun to.
 	opening opening
+	// prediction is that of the latest change.
+	prediction prediction
 	// snapshot is the latest snapshot of all ranks, made at snapshotAt; lastStep is the latest
 	// pass seen in a sample.
 	snapshot   commander.Group
@@ -328,6 +330,7 @@
 func (b *Balancer) isSkewed(engine *holder.Engine) bool {
 	skew := shifter.Skew(b.placement, b.demand.Get(), b.bounds(engine))
 	b.delay.observe(skew, time.Now())
+	b.prediction.compare(skew, b.knownVersion, b.observedAt)
 	return skew >= 1+minSkewGain
 }
 
@@ -375,6 +378,7 @@
 		b.placement, b.knownVersion = plan.Placement, version
 		b.delay.setFollowed()
 		b.opening.isPending = false
+		b.prediction = prediction{version: version, skew: plan.After, madeAt: time.Now()}
 	}
 	countChange(err, time.Since(start), planTime)
 	log.Info("map change", "event", "map_change", "group", own.Group, "epoch", g.Epoch(), "version", version, "pass", g.Step(),
--- a/internal/group/balancer/metrics.go
+++ b/internal/group/balancer/metrics.go
@@ -17,7 +17,9 @@
 	mapSkew            = metrics.NewGauge("siskinfall_map_skew", nil)
 	followDelaySeconds = metrics.NewGauge("siskinfall_map_follow_delay_seconds", nil)
 	mapsNotFollowing   = metrics.NewCounter("siskinfall_map_overdue_total")
-	partialReads       = metrics.NewCounter("siskinfall_group_partial_reads_total")
+	// skewErrors counts changes after which the skew was not the predicted one.
+	skewErrors   = metrics.NewCounter("siskinfall_map_skew_mispredicted_total")
+	partialReads = metrics.NewCounter("siskinfall_group_partial_reads_total")
 )
 
 func countChange(err error, took, planTime time.Duration) {
