Balancer: openings are tested with the cores that sidecars have

A dozen leaders at once matter by the work that they give to each other's sidecars, which have a quarter of a core. The test's sidecars now answer one after the other, 4 ms each.

--- a/internal/group/balancer/opening_test.go
+++ b/internal/group/balancer/opening_test.go
@@ -26,11 +26,15 @@
 
 // A group whose ranks are in zones by turns, and its costs.
 const (
-	cutSets    = 6
-	cutPlaces  = 5
-	cutSpare   = 2
-	cutZones   = 3
-	callTime   = 3 * time.Millisecond
+	cutSets   = 6
+	cutPlaces = 5
+	cutSpare  = 2
+	cutZones  = 3
+	callTime  = 3 * time.Millisecond
+	// serveTime is the time of a quarter of a core for an answer: two calls of the engine.
+	// askTime is that for a question.
+	serveTime  = 4 * time.Millisecond
+	askTime    = time.Millisecond
 	stallTime  = 1500 * time.Millisecond
 	formTime   = 600 * time.Millisecond
 	cutPass    = 45 * time.Millisecond
@@ -61,8 +65,10 @@
 	versions   []uint64
 	violations int
 	messengers []*messenger.Messenger
-	balancers  []*Balancer
-	cancels    []context.CancelFunc
+	// free is when the core of each sidecar is free.
+	free      []time.Time
+	balancers []*Balancer
+	cancels   []context.CancelFunc
 }
 
 type cutRank struct {
@@ -90,6 +96,7 @@
 		g.ranks = append(g.ranks, &cutRank{counts: make([]float64, cutSets*experts)})
 	}
 	g.messengers, g.balancers = make([]*messenger.Messenger, ranks), make([]*Balancer, ranks)
+	g.free = make([]time.Time, ranks)
 	g.cancels = make([]context.CancelFunc, ranks)
 	g.open()
 	return g
@@ -323,7 +330,13 @@
 		<-ctx.Done()
 		return os.ErrDeadlineExceeded
 	}
+	if err := c.work(ctx, c.own, askTime); err != nil {
+		return err
+	}
 	time.Sleep(callTime)
+	if err := c.work(ctx, to, serveTime); err != nil {
+		return err
+	}
 	if q := open.GetEngineQuery(); q != nil {
 		b.RecordLeaderRead(int(q.GetLeaderRank()), q.GetGroup(), time.Now())
 	}
@@ -336,6 +349,22 @@
 	return nil
 }
 
+// work waits for the core of a sidecar, which does what was begun in any case.
+func (g *cutGroup) work(ctx context.Context, rank int, d time.Duration) error {
+	g.mu.Lock()
+	now := time.Now()
+	g.free[rank] = now.Add(max(g.free[rank].Sub(now), 0) + d)
+	done := time.NewTimer(g.free[rank].Sub(now))
+	g.mu.Unlock()
+	defer done.Stop()
+	select {
+	case <-done.C:
+		return nil
+	case <-ctx.Done():
+		return os.ErrDeadlineExceeded
+	}
+}
+
 // Drop implements messenger.Caller.
 func (*cutCaller) Drop(netip.AddrPort) {}
 
