Dialer: a pool can be given how to connect

Tests of the forwarder needed real sockets, so that the order of two answers could not be set. WithConnect replaces TCP; without it nothing changes.

--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -132,11 +132,32 @@
 	open map[Key]int
 	// unidentified holds the servers in use that have sent a rejection without a request ID.
 	unidentified map[Key]bool
+	connect      Connect
 }
 
+// Connect opens a connection to a server.
+type Connect func(ctx context.Context, key Key) (net.Conn, error)
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithConnect replaces TCP.
+func WithConnect(connect Connect) Option { return func(p *Pool) { p.connect = connect } }
+
 // NewPool returns an empty Pool.
-func NewPool() *Pool {
-	return &Pool{idle: make(map[Key][]*Conn), open: make(map[Key]int), unidentified: make(map[Key]bool)}
+func NewPool(opts ...Option) *Pool {
+	p := &Pool{idle: make(map[Key][]*Conn), open: make(map[Key]int), unidentified: make(map[Key]bool), connect: connectTCP}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+func connectTCP(ctx context.Context, key Key) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	return d.DialContext(ctx, "tcp", key.Addr.String())
 }
 
 // MarkUnidentified records that the server has sent a rejection without a request ID. On a
@@ -198,11 +219,8 @@
 
 // dial opens a connection that was counted.
 func (p *Pool) dial(ctx context.Context, key Key) (*Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
 	dialCount.Inc()
-	conn, err := d.DialContext(ctx, "tcp", key.Addr.String())
+	conn, err := p.connect(ctx, key)
 	if err != nil {
 		p.release(key)
 		return nil, wrapper.At("connect_backend", key.ID, err)
