--- a/internal/gateway/quarantiner/quarantiner.go
+++ b/internal/gateway/quarantiner/quarantiner.go
@@ -176,6 +176,19 @@
 	return len(s.getBlocked(digest, parts, now)) > 0
 }
 
+// IsSuspect reports whether a server was lost under a request, or under a part of its prompt,
+// that has no other explanation. Such a request must not be at two servers at a time.
+func (s *Set) IsSuspect(digest uint64, now time.Time, parts ...uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range append([]uint64{digest}, parts...) {
+		if e := s.entries[d]; e != nil && e.countCrashes(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // getBlocked returns which of a request and its parts are blocked.
 func (s *Set) getBlocked(digest uint64, parts []uint64, now time.Time) []uint64 {
 	var blocked []uint64
