Forwarder: second attempts beside slow ones, off by default

What callers saw: a request waits at one slow server for its objective three times before it is retried, though it may be repeated. Cause: attempts follow one another. Change: with gateway.second_attempts above 0, a late first attempt of a repeatable request gets a second one beside it. The first whole answer wins, of streams the first that begins; the other one is cancelled, gives its place back, and is no failure of its server. Each is charged to the retry budget, too. With the setting at 0 an attempt takes the same steps as before: send and recordFlight are the former attempt in two parts.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -101,6 +101,40 @@
 
 // attempt sends the request to a placed server and reads the head of the answer.
 func (x *exchange) attempt(ctx context.Context, p *placer.Placed) outcome {
+	f := &flight{placed: p, number: x.attempts + 1}
+	out := x.send(ctx, f)
+	x.recordFlight(f)
+	return out
+}
+
+// flight is an attempt under way. Two of one exchange may be at the same time, so that send
+// changes nothing else.
+type flight struct {
+	placed *placer.Placed
+	// number counts the attempts of the exchange from 1.
+	number int
+	// sentAt is when the request was written, zero before.
+	sentAt time.Time
+	// cancel ends one of two attempts, nil for an attempt without another beside it.
+	cancel context.CancelFunc
+}
+
+// recordFlight makes an attempt the latest one of the exchange. It is called in the exchange's
+// goroutine only.
+func (x *exchange) recordFlight(f *flight) {
+	x.placed = f.placed
+	if f.sentAt.IsZero() {
+		return
+	}
+	x.attempts++
+	x.sentAt = f.sentAt
+	x.attemptEvents = 0
+	x.tried = append(x.tried, f.placed.ID)
+}
+
+// send sends the request of an attempt and reads the head of the answer.
+func (x *exchange) send(ctx context.Context, f *flight) outcome {
+	p := f.placed
 	getConn := x.pool.Get
 	if !x.route.IsRepeatable() {
 		getConn = x.pool.GetTrusted
@@ -115,23 +149,20 @@
 		return &notSent{err: wrapper.At("check_server", p.ID, fmt.Errorf("%w: %s", errClosed, reason))}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Abort() })
-	maySend := !x.mayHaveRun || x.route.IsRepeatable()
+	maySend := x.route.IsRepeatable() || !x.mayHaveRun
 	if err := asserter.Holds(maySend, asserter.RuleOnce, "request %s again, to %s", x.ID, p.ID); err != nil {
 		stop()
 		_ = conn.Close()
 		return &notSent{err: err}
 	}
-	x.attempts++
-	x.sentAt = time.Now()
-	x.attemptEvents = 0
-	x.tried = append(x.tried, p.ID)
+	f.sentAt = time.Now()
 	req := x.newRequest(p)
 	if err := x.writeRequest(conn, req); err != nil {
 		stop()
 		_ = conn.Close()
 		return &unknown{err: wrapper.At("send_request", p.ID, err)}
 	}
-	err = x.awaitAnswer(conn)
+	err = x.awaitAnswer(conn, f.number)
 	var a *answered
 	if err == nil {
 		a, err = x.readHead(conn, req, p)
@@ -246,8 +277,8 @@
 // awaitAnswer waits for the first byte of an answer. An attempt at a repeatable request
 // is abandoned after maxSilentObjectives times its objective, while another server may
 // still answer in time, unless all servers are in broken or stalled groups.
-func (x *exchange) awaitAnswer(conn *dialer.Conn) error {
-	if x.route.IsRepeatable() && x.route.Objective > 0 && x.attempts < x.route.MaxAttempts {
+func (x *exchange) awaitAnswer(conn *dialer.Conn, number int) error {
+	if x.route.IsRepeatable() && x.route.Objective > 0 && number < x.route.MaxAttempts {
 		if err := conn.SetReadDeadline(time.Now().Add(maxSilentObjectives * x.route.Objective)); err != nil {
 			return err
 		}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/gateway/budgeter"
+	"siskinfall/internal/gateway/hedger"
 	"siskinfall/internal/gateway/placer"
 	"siskinfall/internal/gateway/quarantiner"
 )
@@ -119,6 +120,8 @@
 	pool       *dialer.Pool
 	quarantine *quarantiner.Set
 	codec      Codec
+	// hedger is nil where no second attempts are made.
+	hedger *hedger.Hedger
 	// zone is the availability zone of this gateway.
 	zone string
 	// drain is nil until the process is asked to stop.
@@ -128,13 +131,29 @@
 	endRequests context.CancelFunc
 }
 
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithSecondAttempts makes second attempts beside slow ones, for each request at most a ratio.
+func WithSecondAttempts(ratio float64) Option {
+	return func(f *Forwarder) {
+		if ratio > 0 {
+			f.hedger = hedger.New(ratio)
+		}
+	}
+}
+
 // New returns a Forwarder for the gateway in a zone.
-func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, quarantine *quarantiner.Set, codec Codec, zone string) *Forwarder {
+func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, quarantine *quarantiner.Set, codec Codec, zone string, opts ...Option) *Forwarder {
 	ended, endRequests := context.WithCancel(context.Background())
-	return &Forwarder{
+	f := &Forwarder{
 		zone: zone, catalog: catalog, placer: p, budget: budget, pool: pool, quarantine: quarantine, codec: codec,
 		ended: ended, endRequests: endRequests,
 	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // ServeHTTP implements http.Handler.
@@ -228,6 +247,9 @@
 	x.extendEventDeadline(x.start)
 	x.service = pickTarget(x.route.Targets)
 	x.budget.AddRequest(x.service, x.start)
+	if x.hedger != nil {
+		x.hedger.AddRequest(x.service)
+	}
 	return true
 }
 
--- /dev/null
+++ b/internal/gateway/forwarder/hedge_test.go
@@ -0,0 +1,410 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"siskinfall/internal/backend/dialer"
+	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/fleet/lister"
+	"siskinfall/internal/gateway/budgeter"
+	"siskinfall/internal/gateway/hedger"
+	"siskinfall/internal/gateway/placer"
+	"siskinfall/internal/gateway/quarantiner"
+)
+
+// pipeCodec carries the request ID only.
+type pipeCodec struct{ emptyCodec }
+
+func (pipeCodec) DecodeRequest(h http.Header) Request { return Request{ID: h.Get("Id")} }
+func (pipeCodec) DecodeAnswer(_ int, h http.Header) Answer {
+	return Answer{RequestID: h.Get("Id"), Signed: true}
+}
+
+// pipeServer is a backend server at the other end of pipes.
+type pipeServer struct {
+	mu sync.Mutex
+	// delay is the time until the answer to the nth run, connect that until a connection.
+	// Calls of delay don't overlap.
+	delay, connect func(n int) time.Duration
+	status         int
+	isStream       bool
+	runs, cut      int
+}
+
+func (s *pipeServer) counts() (runs, cut int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs, s.cut
+}
+
+func (s *pipeServer) serve(id string, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	br := bufio.NewReader(conn)
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	delay := s.delay(s.runs)
+	s.runs++
+	s.mu.Unlock()
+	gone := make(chan struct{})
+	go func() { _, _ = br.ReadByte(); close(gone) }()
+	select {
+	case <-gone:
+		s.mu.Lock()
+		s.cut++
+		s.mu.Unlock()
+		return
+	case <-time.After(delay):
+	}
+	body := id + " ran " + r.Header.Get("Id")
+	if s.isStream {
+		body = fmt.Sprintf("id: 1\ndata: %s\n\nid: 2\ndata: end of %s\n\n", id, id)
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\nServer-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", s.status, r.Header.Get("Id"), id, len(body), body)
+	<-gone
+}
+
+func always(d time.Duration) func(int) time.Duration { return func(int) time.Duration { return d } }
+
+// hedgeFixture is a gateway before pipe servers, named s0 and so on.
+type hedgeFixture struct {
+	*Forwarder
+	servers []*pipeServer
+	route   *holder.Route
+}
+
+const (
+	testObjective = 200 * time.Millisecond
+	quickAnswer   = 20 * time.Millisecond
+)
+
+func newHedgeFixture(c *qt.C, ratio float64, servers ...*pipeServer) *hedgeFixture {
+	log.SetOutput(io.Discard)
+	f := &hedgeFixture{servers: servers}
+	catalog := &holder.Catalog{
+		Version: 1, Services: []holder.Service{{Name: "desk", MaxConnections: 4000}},
+		Routes: []holder.Route{{
+			Name: "r", Host: "example.com", Prefix: "/", Kind: holder.Idempotent, Resumable: true, Objective: testObjective, Timeout: 4 * time.Second, MaxAttempts: 3, Public: true,
+			Targets: []holder.Target{{Service: "desk", Weight: 1}},
+		}},
+	}
+	f.route = &catalog.Routes[0]
+	catalog.Index()
+	h := holder.New()
+	h.ApplyIfNewer(catalog, "test")
+	h.Confirm(time.Now())
+	all := make([]lister.Server, 0, len(servers))
+	for i, s := range servers {
+		s.status = http.StatusOK
+		all = append(all, lister.Server{ID: fmt.Sprint("s", i), Service: "desk", Zone: "a", Addr: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)), Slots: 6})
+	}
+	p := placer.New()
+	p.SetServers(all)
+	pool := dialer.NewPool(dialer.WithConnect(func(ctx context.Context, key dialer.Key) (net.Conn, error) {
+		s := servers[key.Addr.Port()-1]
+		if s.connect != nil {
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(s.connect(0)):
+			}
+		}
+		near, far := net.Pipe()
+		go s.serve(key.ID, far)
+		return near, nil
+	}))
+	budget := budgeter.New(budgeter.Bound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute))
+	f.Forwarder = New(h, p, budget, pool, quarantiner.New(1), pipeCodec{}, "a", WithSecondAttempts(ratio))
+	c.Assert(f.hedger != nil, qt.Equals, ratio > 0)
+	return f
+}
+
+// get sends a request and returns its answer and the time until then.
+func (f *hedgeFixture) get(ctx context.Context, id string) (w *httptest.ResponseRecorder, took time.Duration) {
+	r := httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil)
+	r.Header.Set("Id", id)
+	w = httptest.NewRecorder()
+	start := time.Now()
+	defer func() {
+		took = time.Since(start)
+		if e := recover(); e != nil && e != any(http.ErrAbortHandler) {
+			panic(e)
+		}
+	}()
+	f.ServeHTTP(w, r)
+	return w, took
+}
+
+// earn sends enough requests, answered by a quick server only, for one second attempt.
+func (f *hedgeFixture) earn() {
+	for range 100 {
+		f.hedger.AddRequest("desk")
+	}
+}
+
+// counts returns how often the servers ran a request, and how many runs were cut off.
+func (f *hedgeFixture) counts() (runs, cut int) {
+	synctest.Wait()
+	for _, s := range f.servers {
+		r, n := s.counts()
+		runs, cut = runs+r, cut+n
+	}
+	return runs, cut
+}
+
+// placeOn makes the next request go to a server first: the others get a request beside it.
+func (f *hedgeFixture) placeOn(i int) func() {
+	held := make([]*placer.Placed, 0, len(f.servers))
+	exclude := append(make([]string, 0, len(f.servers)), fmt.Sprint("s", i))
+	for range len(f.servers) - 1 {
+		p := f.placer.Place(placer.Work{Route: "r", Service: "desk", Zone: "a", Exclude: exclude}, time.Now()).(*placer.Placed)
+		exclude = append(exclude, p.ID)
+		held = append(held, p)
+	}
+	return func() {
+		for _, p := range held {
+			p.Finish(placer.Cancelled, time.Now())
+		}
+	}
+}
+
+// load sends requests at a steady rate to all gateways in turn and returns their times, sorted.
+func load(gateways []*hedgeFixture, n int, interval time.Duration) []time.Duration {
+	times := make([]time.Duration, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { _, times[i] = gateways[i%len(gateways)].get(context.Background(), fmt.Sprint("r", i)) })
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	slices.Sort(times)
+	return times
+}
+
+// TestSlowServerDelaysOneInTen guards against leaving requests at one slow server of ten.
+func TestSlowServerDelaysOneInTen(t *testing.T) {
+	const requests, gatewayCount = 3000, 14
+	run := func(ratio float64) (times []time.Duration, extra int) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			servers := make([]*pipeServer, 10)
+			for i := range servers {
+				rng := rand.New(rand.NewPCG(uint64(i), 1))
+				mean := quickAnswer
+				if i == 0 {
+					mean = 15 * quickAnswer
+				}
+				servers[i] = &pipeServer{delay: func(int) time.Duration { return mean/2 + time.Duration(rng.Int64N(int64(mean))) }}
+			}
+			gateways := make([]*hedgeFixture, gatewayCount)
+			for i := range gateways {
+				gateways[i] = newHedgeFixture(c, ratio, servers...)
+			}
+			times = load(gateways, requests, 40*time.Millisecond)
+			runs, _ := gateways[0].counts()
+			extra = runs - requests
+		})
+		return times, extra
+	}
+	c := qt.New(t)
+	for _, ratio := range []float64{0, 0.05, 0.1, 0.3} {
+		times, extra := run(ratio)
+		p95, p99 := times[requests*95/100], times[requests*99/100]
+		t.Logf("limit %.2f: p50 %v p95 %v p99 %v, %.1f %% extra runs", ratio, times[requests/2], p95, p99, 100*float64(extra)/requests)
+		c.Assert(float64(extra) <= ratio*requests+gatewayCount*hedger.MaxCredit, qt.IsTrue, qt.Commentf("%d extra runs", extra))
+		c.Assert(ratio < 0.1 || p95 <= testObjective, qt.IsTrue, qt.Commentf("p95 %v", p95))
+		c.Assert(ratio < 0.3 || p99 <= testObjective, qt.IsTrue, qt.Commentf("p99 %v", p99))
+		c.Assert(ratio > 0 || extra == 0, qt.IsTrue)
+	}
+}
+
+// TestSecondAttemptsStopWhereAllServersAreSlow guards against repeating all requests when the
+// service itself is slow.
+func TestSecondAttemptsStopWhereAllServersAreSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		servers := make([]*pipeServer, 10)
+		for i := range servers {
+			start := time.Now()
+			servers[i] = &pipeServer{delay: func(int) time.Duration {
+				if time.Since(start) < 10*time.Second {
+					return quickAnswer
+				}
+				return 15 * quickAnswer
+			}}
+		}
+		f := newHedgeFixture(c, 0.1, servers...)
+		load([]*hedgeFixture{f}, 250, 40*time.Millisecond)
+		before, _ := f.counts()
+		c.Assert(before, qt.Equals, 250)
+		const slow = 250
+		load([]*hedgeFixture{f}, slow, 40*time.Millisecond)
+		after, _ := f.counts()
+		// The first ones show that the service is slow.
+		c.Assert(after-before-slow <= 3, qt.IsTrue, qt.Commentf("%d second attempts", after-before-slow))
+	})
+}
+
+// TestBothServersAnswer guards against telling the caller the answers of both servers, and
+// against taking the slower one for failed.
+func TestBothServersAnswer(t *testing.T) {
+	for name, second := range map[string]time.Duration{"second wins": quickAnswer, "first wins": 300 * time.Millisecond, "at once": 100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newHedgeFixture(c, 0.1, &pipeServer{delay: always(testObjective)}, &pipeServer{delay: always(second)})
+				f.earn()
+				release := f.placeOn(0)
+				w, took := f.get(c.Context(), "a")
+				release()
+				runs, cut := f.counts()
+				winner := w.Header().Get("Server-Id")
+				c.Assert(w.Code, qt.Equals, http.StatusOK)
+				c.Assert(w.Body.String(), qt.Equals, winner+" ran a")
+				c.Assert(took, qt.Equals, min(testObjective, testObjective/2+second))
+				c.Assert(runs, qt.Equals, 2)
+				c.Assert(cut <= 1, qt.IsTrue)
+				c.Assert(name == "at once" || cut == 1, qt.IsTrue)
+				// Both places are given back, and both servers are used as before.
+				for range 2 {
+					p := f.placer.Place(placer.Work{Route: "r", Service: "desk", Zone: "a"}, time.Now()).(*placer.Placed)
+					c.Assert(p.Estimate, qt.Equals, 0)
+				}
+			})
+		})
+	}
+}
+
+// TestFirstAnswerArrivesWhileSecondIsSent guards against waiting for the connection of a second
+// attempt, and against a run for a caller that has its answer.
+func TestFirstAnswerArrivesWhileSecondIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newHedgeFixture(c, 0.1, &pipeServer{delay: always(testObjective)}, &pipeServer{delay: always(quickAnswer), connect: always(time.Minute)})
+		f.earn()
+		release := f.placeOn(0)
+		w, took := f.get(c.Context(), "a")
+		release()
+		runs, _ := f.counts()
+		c.Assert(w.Body.String(), qt.Equals, "s0 ran a")
+		c.Assert(took, qt.Equals, testObjective)
+		c.Assert(runs, qt.Equals, 1)
+	})
+}
+
+// TestCallerLeavesDuringSecondAttempt guards against servers that work on for a caller that
+// has left.
+func TestCallerLeavesDuringSecondAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newHedgeFixture(c, 0.1, &pipeServer{delay: always(time.Second)}, &pipeServer{delay: always(time.Second)})
+		f.earn()
+		ctx, cancel := context.WithTimeout(c.Context(), 3*testObjective/4)
+		defer cancel()
+		_, took := f.get(ctx, "a")
+		runs, cut := f.counts()
+		c.Assert(took, qt.Equals, 3*testObjective/4)
+		c.Assert(runs, qt.Equals, 2)
+		c.Assert(cut, qt.Equals, 2)
+	})
+}
+
+// TestSecondAttemptIsDenied guards against second attempts where they are not allowed.
+func TestSecondAttemptIsDenied(t *testing.T) {
+	cases := map[string]struct {
+		ratio  float64
+		change func(f *hedgeFixture)
+	}{
+		"limit is zero":  {0, func(*hedgeFixture) {}},
+		"not idempotent": {0.1, func(f *hedgeFixture) { f.route.Kind = holder.NonIdempotent }},
+		"stream not resumable": {0.1, func(f *hedgeFixture) {
+			f.route.Kind, f.route.Resumable = holder.Streaming, false
+			f.servers[0].isStream, f.servers[1].isStream = true, true
+		}},
+		"one attempt": {0.1, func(f *hedgeFixture) { f.route.MaxAttempts = 1 }},
+		"stopping":    {0.1, func(f *hedgeFixture) { f.BeginDrain(time.Now().Add(time.Hour), time.Now().Add(2*time.Hour)) }},
+		"suspect": {0.1, func(f *hedgeFixture) {
+			f.quarantine.AddLoss(quarantiner.Digest(http.MethodGet, "/", "", nil), quarantiner.NewServer("s9", time.Now()), time.Now(), time.Now())
+		}},
+		"nothing earned": {0.1, func(f *hedgeFixture) { f.hedger = nil; WithSecondAttempts(0.1)(f.Forwarder) }},
+		"no retries left": {0.1, func(f *hedgeFixture) {
+			for f.budget.TakeRetry("desk", time.Now()) {
+			}
+		}},
+		"burst": {0.1, func(f *hedgeFixture) {
+			for range 8 {
+				f.placer.Place(placer.Work{Route: "r", Service: "desk", Zone: "a"}, time.Now())
+			}
+		}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newHedgeFixture(c, test.ratio, &pipeServer{delay: always(testObjective)}, &pipeServer{delay: always(testObjective)})
+				if f.hedger != nil {
+					f.earn()
+				}
+				test.change(f)
+				w, took := f.get(c.Context(), "a")
+				runs, _ := f.counts()
+				c.Assert(w.Code, qt.Equals, http.StatusOK)
+				c.Assert(took, qt.Equals, testObjective)
+				c.Assert(runs, qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// TestFailedAttemptWaitsForOther guards against an answer that one of two servers has not run,
+// failed or lost while the other one still answers.
+func TestFailedAttemptWaitsForOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newHedgeFixture(c, 0.1, &pipeServer{delay: always(testObjective)}, &pipeServer{delay: always(quickAnswer)})
+		f.servers[1].status = http.StatusInternalServerError
+		f.earn()
+		release := f.placeOn(0)
+		w, took := f.get(c.Context(), "a")
+		release()
+		c.Assert(w.Code, qt.Equals, http.StatusOK)
+		c.Assert(w.Body.String(), qt.Equals, "s0 ran a")
+		c.Assert(took, qt.Equals, testObjective)
+	})
+}
+
+// TestStreamOfOneServerIsRelayed guards against a stream made of events of two servers.
+func TestStreamOfOneServerIsRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newHedgeFixture(c, 0.1, &pipeServer{delay: always(testObjective), isStream: true}, &pipeServer{delay: always(quickAnswer), isStream: true})
+		f.route.Kind = holder.Streaming
+		f.earn()
+		release := f.placeOn(0)
+		w, took := f.get(c.Context(), "a")
+		release()
+		_, cut := f.counts()
+		c.Assert(w.Header().Get("Server-Id"), qt.Equals, "s1")
+		c.Assert(w.Body.String(), qt.Equals, "id: 1\ndata: s1\n\nid: 2\ndata: end of s1\n\n")
+		c.Assert(took, qt.Equals, testObjective/2+quickAnswer)
+		c.Assert(cut, qt.Equals, 1)
+	})
+}
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -172,7 +172,15 @@
 
 // tryServer makes one attempt at a placed server and handles its outcome.
 func (x *exchange) tryServer(ctx context.Context, p *placer.Placed) nextAction {
-	switch out := x.attempt(ctx, p).(type) {
+	if x.mayRace() {
+		return x.tryRace(ctx, p)
+	}
+	return x.handleOutcome(ctx, p, x.attempt(ctx, p))
+}
+
+// handleOutcome handles the outcome of the latest attempt.
+func (x *exchange) handleOutcome(ctx context.Context, p *placer.Placed, out outcome) nextAction {
+	switch out := out.(type) {
 	case *notSent:
 		x.logAttempt(p, "not sent", out.err)
 		if x.r.Context().Err() != nil {
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -61,6 +61,9 @@
 	// case: those that should seem not to reach it. It is below the age at which requests are
 	// no longer denied by the catalog, and above the wait of a watch.
 	maxUnconfirmed = 4800 * time.Millisecond
+	// secondAttemptsShare is the share of the retries of all gateways that second attempts may
+	// take.
+	secondAttemptsShare = 0.5
 	// cleanupInterval is the time between two removals of lapsed servers and idle
 	// connections.
 	cleanupInterval = 500 * time.Millisecond
@@ -96,7 +99,8 @@
 	}, time.Now())
 	g.catalog.OnChange(g.placer.SetCatalog)
 	g.servers.OnChange(g.placer.SetServers)
-	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone)
+	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone,
+		forwarder.WithSecondAttempts(min(cfg.Gateway.SecondAttempts, secondAttemptsShare*cfg.Gateway.RepeatRatio)))
 	g.watcher = watcher.New(source, g.catalog, g.servers, watcher.WithRole(g.watchesStore))
 	g.hello = &encoder.Hello{
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -98,6 +98,8 @@
 	RepeatRatio   float64       `yaml:"repeat_ratio" validate:"min=0,max=1" comment:"repeats for each request, over all gateways"`
 	RepeatSlack   float64       `yaml:"repeat_slack" validate:"min=0" comment:"repeats beyond that in a window, over all gateways"`
 	RepeatWindow  time.Duration `yaml:"repeat_window" validate:"min=1s,max=10m" comment:"window in which repeats are counted"`
+	// SecondAttempts is at most half of RepeatRatio in effect, so that retries are left.
+	SecondAttempts float64 `yaml:"second_attempts" validate:"min=0,max=1" comment:"second attempts beside slow ones for each request of a service; 0 for none"`
 	// SeedPeers need not be reachable.
 	SeedPeers []netip.AddrPort `yaml:"seed_peers" comment:"gateways and sidecars to ask first"`
 	// AdvertisePeers has the port of listen.peers, which is the same on all gateways.
