Forwarder, Placer: tests of second attempts at long streams and busy services

Two checks that no test failed without: a stream that has begun in time gets no second attempt however long it is, and a busy service none though one server has room. Each test was seen to fail with its check taken out.

--- a/internal/gateway/forwarder/hedge_test.go
+++ b/internal/gateway/forwarder/hedge_test.go
@@ -44,7 +44,9 @@
 	delay, connect func(n int) time.Duration
 	status         int
 	isStream       bool
-	runs, cut      int
+	// gap is the time between the two events of a stream.
+	gap       time.Duration
+	runs, cut int
 }
 
 func (s *pipeServer) counts() (runs, cut int) {
@@ -74,11 +76,16 @@
 		return
 	case <-time.After(delay):
 	}
-	body := id + " ran " + r.Header.Get("Id")
+	parts := [2]string{id + " ran " + r.Header.Get("Id"), ""}
 	if s.isStream {
-		body = fmt.Sprintf("id: 1\ndata: %s\n\nid: 2\ndata: end of %s\n\n", id, id)
+		parts = [2]string{"id: 1\ndata: " + id + "\n\n", "id: 2\ndata: end of " + id + "\n\n"}
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\nServer-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		s.status, r.Header.Get("Id"), id, len(parts[0])+len(parts[1]), parts[0])
+	if s.isStream {
+		time.Sleep(s.gap)
+		_, _ = conn.Write([]byte(parts[1]))
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\nServer-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", s.status, r.Header.Get("Id"), id, len(body), body)
 	<-gone
 }
 
@@ -408,3 +415,22 @@
 		c.Assert(cut, qt.Equals, 1)
 	})
 }
+
+// TestBegunStreamGetsNoSecondAttempt guards against repeating a stream that has begun in time
+// and is only long.
+func TestBegunStreamGetsNoSecondAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		slow := &pipeServer{delay: always(quickAnswer), isStream: true, gap: time.Second}
+		f := newHedgeFixture(c, 0.1, slow, &pipeServer{delay: always(quickAnswer), isStream: true})
+		f.route.Kind = holder.Streaming
+		f.earn()
+		release := f.placeOn(0)
+		w, took := f.get(c.Context(), "a")
+		release()
+		runs, _ := f.counts()
+		c.Assert(w.Body.String(), qt.Equals, "id: 1\ndata: s0\n\nid: 2\ndata: end of s0\n\n")
+		c.Assert(took, qt.Equals, quickAnswer+time.Second)
+		c.Assert(runs, qt.Equals, 1)
+	})
+}
--- a/internal/gateway/placer/spare_test.go
+++ b/internal/gateway/placer/spare_test.go
@@ -24,6 +24,15 @@
 				p.Place(deskWork(start), start)
 			}
 		}, false},
+		"service is busy": {func(p *Placer, first *Placed) {
+			p.SetLoad(first.ID, Load{Running: 6, Waiting: 1, At: start})
+			for i := range servers {
+				if id := fmt.Sprint("s", i); id != first.ID {
+					p.SetLoad(id, Load{Running: 6, At: start})
+					return
+				}
+			}
+		}, false},
 		"others are full": {func(p *Placer, first *Placed) {
 			for i := range servers {
 				if id := fmt.Sprint("s", i); id != first.ID {
