Placer: random choices come from a source that can be set

No caller saw a change. Decisions could not be replayed: random choices came from the process's source, and servers were compared in the order of a map.

The source is an option now, and the servers of a service are in order of ID. Neither changes how likely a decision is.

--- a/internal/gateway/placer/outage.go
+++ b/internal/gateway/placer/outage.go
@@ -169,14 +169,14 @@
 		o.probedAt = now
 		return nil
 	}
-	return &Refused{Reason: "model group stands still", RetryAfter: o.retryAfter(w, now)}
+	return &Refused{Reason: "model group stands still", RetryAfter: o.retryAfter(w, p.random, now)}
 }
 
 // retryAfter returns the expected time until the outage is over. An outage is expected
 // to last as long again as it has lasted, and at least minRecovery.
-func (o *outage) retryAfter(w Work, now time.Time) time.Duration {
+func (o *outage) retryAfter(w Work, random *rand.Rand, now time.Time) time.Duration {
 	retryAfter := w.capRetryAfter(max(now.Sub(o.startedAt), minRecovery), now)
-	return retryAfter - time.Duration(retryAfterJitter*rand.Float64()*float64(retryAfter))
+	return retryAfter - time.Duration(retryAfterJitter*random.Float64()*float64(retryAfter))
 }
 
 // maxRetryAfterFraction is the fraction of its remaining time that a caller waits at
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -5,6 +5,8 @@
 package placer
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -168,15 +170,29 @@
 	// gatewayCount is the number of gateways that place requests at the same
 	// servers, including this one.
 	gatewayCount int
+	random       *rand.Rand
+}
+
+// Option configures a Placer.
+type Option func(*Placer)
+
+// WithRandom sets the source of random choices.
+func WithRandom(source rand.Source) Option {
+	return func(p *Placer) { p.random = rand.New(source) } //nolint:gosec // spreads load, protects nothing
 }
 
 // New returns a Placer without servers.
-func New() *Placer {
-	return &Placer{
+func New(opts ...Option) *Placer {
+	p := &Placer{
 		servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine),
 		outages: make(map[string]*outage), groups: make(map[string]*group), callersByRoute: make(map[string]*callerStats),
 		stalledUntil: make(map[string]time.Time), closures: make(map[incarnation]*closure), gatewayCount: 1,
 	}
+	WithRandom(rand.NewPCG(rand.Uint64(), rand.Uint64()))(p) //nolint:gosec // see WithRandom
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // SetCatalog updates which services run on engines.
@@ -217,6 +233,9 @@
 			p.byService[s.Service] = append(p.byService[s.Service], s)
 		}
 	}
+	for _, list := range p.byService {
+		slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	}
 }
 
 // SetLoad updates the load of a plain server. Engines are ignored.
--- a/internal/gateway/placer/room.go
+++ b/internal/gateway/placer/room.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"siskinfall/internal/catalog/holder"
@@ -141,5 +140,5 @@
 	usualDuration := time.Duration(engine.UsualAnswer/engine.TokensPerEvent) * s.load.Pass
 	excess := max(s.estimate(now)-s.Slots+1, 1)
 	wait := max(time.Duration(excess)*usualDuration/time.Duration(s.Slots), defaultRetryAfter)
-	return wait + time.Duration(rand.Int64N(int64(wait)))
+	return wait + time.Duration(p.random.Int64N(int64(wait)))
 }
--- a/internal/gateway/placer/score.go
+++ b/internal/gateway/placer/score.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -161,7 +160,7 @@
 func (p *Placer) sample(all []*server, w Work, now time.Time) []*server {
 	n := max(len(all)/p.gatewayCount, minSampledEngines)
 	out := make([]*server, 0, n)
-	for _, i := range rand.Perm(len(all)) {
+	for _, i := range p.random.Perm(len(all)) {
 		if len(out) == n {
 			break
 		}
@@ -187,7 +186,7 @@
 			best, bestScore, ties = s, score, 1
 		case score == bestScore:
 			ties++
-			if rand.IntN(ties) == 0 {
+			if p.random.IntN(ties) == 0 {
 				best = s
 			}
 		}
