Gateway: requests for engines are admitted by their room, if the settings say so

Cause: engines took waiting requests first come first served, since they were not told the priority, and each gateway filled places by reports that lack what the others, and it itself in the last 0.3 s, had sent.

Change: with gateway.admission, the forwarder asks the admitter for a place before the placer chooses a server, and sends the request's priority. The placer determines the room, and counts own requests that a report can't hold yet. Off by default; the golden test of decisions without it is unchanged.

Evidence: replays in virtual time, named after their load patterns, print by kind, size and account how many keep their objectives and are served, for both rules. Not yet seen on a deployment.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -201,6 +201,9 @@
 	_ = a.conn.Close()
 }
 
+// maxEnginePriority is the least urgent priority that engines know.
+const maxEnginePriority = 9
+
 // newRequest returns the request to be sent to the server.
 func (x *exchange) newRequest(p *placer.Placed) *http.Request {
 	h := copyHeaders(x.r.Header)
@@ -208,6 +211,9 @@
 	if x.account != nil {
 		out.Account = x.account.Name
 	}
+	if x.ticket != nil {
+		out.Priority = min(max(x.getPriority(), 0), maxEnginePriority)
+	}
 	x.codec.EncodeRequest(h, out)
 	if _, ok := h["User-Agent"]; !ok {
 		// An empty value keeps net/http from adding its own.
--- a/internal/gateway/forwarder/drain.go
+++ b/internal/gateway/forwarder/drain.go
@@ -18,8 +18,14 @@
 	f.drain.Store(&drainPeriod{lateFrom: lateFrom, end: end})
 }
 
-// EndRequests gives the requests in flight that have no answer yet their final one.
-func (f *Forwarder) EndRequests() { f.endRequests() }
+// EndRequests gives the requests in flight that have no answer yet their final one. Those that
+// wait for a place are refused.
+func (f *Forwarder) EndRequests() {
+	if f.gates != nil {
+		f.gates.close(time.Now())
+	}
+	f.endRequests()
+}
 
 // checkDrain reports whether a complete request may be sent to a server, or refuses it and
 // reports false.
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"siskinfall/internal/admission/admitter"
 	"siskinfall/internal/backend/dialer"
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/check/asserter"
@@ -126,15 +127,24 @@
 	// ended is done once requests in flight have to be answered, by endRequests.
 	ended       context.Context //nolint:containedctx // it ends with the process, not with a call
 	endRequests context.CancelFunc
+	// gates is nil without admission.
+	gates *gates
 }
 
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
 // New returns a Forwarder for the gateway in a zone.
-func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, quarantine *quarantiner.Set, codec Codec, zone string) *Forwarder {
+func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, quarantine *quarantiner.Set, codec Codec, zone string, opts ...Option) *Forwarder {
 	ended, endRequests := context.WithCancel(context.Background())
-	return &Forwarder{
+	f := &Forwarder{
 		zone: zone, catalog: catalog, placer: p, budget: budget, pool: pool, quarantine: quarantine, codec: codec,
 		ended: ended, endRequests: endRequests,
 	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // ServeHTTP implements http.Handler.
@@ -177,6 +187,8 @@
 	// eventDeadline is when the next event is due; zero if the route has no
 	// patience.
 	eventDeadline time.Time
+	// ticket is the request's place at its service, nil without admission.
+	ticket *admitter.Ticket
 	// tried holds the IDs of the servers that were tried, in order.
 	tried []string
 	// placed is the latest placement, nil before the first.
@@ -405,5 +417,6 @@
 	if x.lastEvent > 0 {
 		fields = append(fields, "last_event", x.lastEvent)
 	}
+	fields = append(fields, x.admissionFields()...)
 	log.Info("request ended", fields...)
 }
--- a/internal/gateway/forwarder/metrics.go
+++ b/internal/gateway/forwarder/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"siskinfall/internal/admission/admitter"
 )
 
 var (
@@ -23,3 +25,13 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_gateway_requests_total{status="%d"}`, status)).Inc()
 	requestSeconds.Update(took.Seconds())
 }
+
+// countAdmitted counts a request that was granted a place after a wait.
+func countAdmitted(service, route string, waited time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`siskinfall_gateway_admission_wait_seconds{service=%q,route=%q}`, service, route)).Update(waited.Seconds())
+}
+
+// countRefused counts a request that was not admitted.
+func countRefused(service, route string, r *admitter.Refused) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_gateway_admission_refused_total{service=%q,route=%q,reason=%q}`, service, route, r.Reason)).Inc()
+}
--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -68,6 +68,10 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.ended, cancel)() //nolint:contextcheck // the end of the process is no parent of ctx
+	if !x.awaitPlace(ctx) {
+		return
+	}
+	defer x.releasePlace()
 	unsentAttempts := 0
 	lastFailure := failure{}
 	for {
@@ -159,15 +163,19 @@
 }
 
 func (x *exchange) newWork() placer.Work {
-	w := placer.Work{
-		Route: x.route.Name, Service: x.service, Zone: x.zone, Priority: x.route.Priority,
+	return placer.Work{
+		Route: x.route.Name, Service: x.service, Zone: x.zone, Priority: x.getPriority(),
 		EstimatedAnswerTokens: x.EstimatedAnswerTokens, MaxAnswerTokens: x.MaxAnswerTokens, CallerTimeout: x.Timeout, Patience: x.route.Patience, Deadline: x.deadline,
-		Exclude: x.tried,
+		Exclude: x.tried, Admitted: x.ticket != nil,
 	}
+}
+
+// getPriority returns the priority of the client account or else of the route.
+func (x *exchange) getPriority() int {
 	if x.account != nil && x.account.Priority != nil {
-		w.Priority = *x.account.Priority
+		return *x.account.Priority
 	}
-	return w
+	return x.route.Priority
 }
 
 // tryServer makes one attempt at a placed server and handles its outcome.
--- a/internal/gateway/placer/golden_test.go
+++ b/internal/gateway/placer/golden_test.go
@@ -22,7 +22,7 @@
 	}
 	seconds := make([]second, 60)
 	f := &replay{
-		kinds: newReplayKinds(factor), gateways: 3, engines: 6, length: time.Minute, reportLag: 200 * time.Millisecond, seed: 45,
+		kinds: newReplayKinds(factor), gateways: 3, engines: 6, length: time.Minute, reportLag: 200 * time.Millisecond, seed: 45, isOrdered: true,
 		skew: func(at time.Duration) float64 {
 			if at%(10*time.Second) < 1500*time.Millisecond {
 				return 3
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -46,6 +46,9 @@
 	Zone string
 	// Priority is 0 for the most urgent work.
 	Priority int
+	// Admitted is set if the request has a place at the service. Then none is kept free for
+	// more urgent work.
+	Admitted bool
 	// EstimatedAnswerTokens is the estimated length of the answer in tokens, 0 if there is no
 	// estimate. MaxAnswerTokens is its upper bound, 0 if there is none. Both are 0 for
 	// plain services.
@@ -140,6 +143,9 @@
 	// the number it has finished since the last report.
 	deltaSinceReport int
 	load             Load
+	// placedAt holds when the latest requests were placed, in order; only those that a
+	// report may lack, and none without a report lag.
+	placedAt []time.Time
 }
 
 // estimate returns the estimated number of requests at the server.
@@ -171,6 +177,11 @@
 	// servers, including this one.
 	gatewayCount int
 	random       *rand.Rand
+	// gaps holds, by service, the shortest limit of the pauses in its streams.
+	gaps map[string]time.Duration
+	// reportLag is how much older an engine's report is than its arrival, 0 if that is
+	// not taken into account.
+	reportLag time.Duration
 }
 
 // Option configures a Placer.
@@ -181,12 +192,19 @@
 	return func(p *Placer) { p.random = rand.New(source) } //nolint:gosec // spreads load, protects nothing
 }
 
+// WithReportLag counts requests placed within d before an engine's report in addition to
+// those of the report.
+func WithReportLag(d time.Duration) Option {
+	return func(p *Placer) { p.reportLag = d }
+}
+
 // New returns a Placer without servers.
 func New(opts ...Option) *Placer {
 	p := &Placer{
 		servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine),
 		outages: make(map[string]*outage), groups: make(map[string]*group), callersByRoute: make(map[string]*callerStats),
 		stalledUntil: make(map[string]time.Time), closures: make(map[incarnation]*closure), gatewayCount: 1,
+		gaps: make(map[string]time.Duration),
 	}
 	WithRandom(rand.NewPCG(rand.Uint64(), rand.Uint64()))(p) //nolint:gosec // see WithRandom
 	for _, opt := range opts {
@@ -205,6 +223,7 @@
 			p.engines[c.Services[i].Name] = c.Services[i].Engine
 		}
 	}
+	p.setGaps(c)
 }
 
 // SetServers replaces the list of backend servers. State of a server is kept
@@ -261,7 +280,7 @@
 			continue
 		}
 		if s.Started.Equal(started) {
-			s.load, s.deltaSinceReport = load, 0
+			s.load, s.deltaSinceReport = load, s.countUnseen(load.At.Add(-p.reportLag))
 		}
 		p.getGroup(load.Group).record(s.Service, addr, load)
 	}
@@ -341,6 +360,9 @@
 	}
 	placed := &Placed{Server: best.Server, Estimate: best.estimate(now), ServerCount: len(p.byService[w.Service]), Reported: best.load.At, decided: now, server: best, placer: p}
 	best.inFlight++
+	if p.reportLag > 0 && p.engines[best.Service] != nil {
+		best.placedAt = append(best.placedAt, now)
+	}
 	p.recordPlaced(best)
 	best.deltaSinceReport++
 	countPlaced(w.Service)
--- a/internal/gateway/placer/replay_test.go
+++ b/internal/gateway/placer/replay_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"siskinfall/internal/admission/admitter"
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fleet/lister"
 )
@@ -31,8 +32,10 @@
 	timeout             time.Duration
 	burstFrom, burstEnd time.Duration
 	burstFactor         float64
-	// account is the share of the demand of the first of replayAccounts accounts.
+	// largestAccount is the share of the demand of the first of replayAccounts accounts.
 	largestAccount float64
+	// impatient is the share of callers that repeat at once when they are refused.
+	impatient float64
 }
 
 const replayAccounts = 24
@@ -43,19 +46,22 @@
 	account        int
 	prompt, answer int
 	sent           time.Time
-	isRetry        bool
 	unread, left   int
 	firstAt        time.Time
 	lastAt         time.Time
 	longestGap     time.Duration
 	placed         *Placed
+	placedAt       time.Time
 	ended          bool
 	refusedAt      time.Time
 	refusals       int
+	// isImpatient is set if the caller does not wait as it is told.
+	isImpatient bool
+	ticket      *admitter.Ticket
+	gateway     int
 }
 
-// isLarge reports whether the request is among the largest tenth of its kind, as tokens
-// cost callers.
+// cost is the size of a request in prompt tokens.
 func (r *replayRequest) cost() int { return r.prompt + 10*r.answer }
 
 func (r *replayRequest) deadline() time.Time { return r.sent.Add(r.kind.timeout) }
@@ -65,14 +71,13 @@
 	return r.ended && r.firstAt.Sub(r.sent) <= r.kind.objective && r.longestGap <= r.kind.gap && !r.lastAt.After(r.deadline())
 }
 
+// isServed reports whether the answer is complete within the deadline.
 func (r *replayRequest) isServed() bool { return r.ended && !r.lastAt.After(r.deadline()) }
 
 // replayRank is one engine of a replay.
 type replayRank struct {
 	running, waiting []*replayRequest
 	slowness         float64
-	// isGone is set while the engine takes no requests.
-	isGone bool
 }
 
 func (e *replayRank) memory() int {
@@ -95,12 +100,22 @@
 	// change alters engines as time goes on, nil for none.
 	change func(at time.Duration, ranks []*replayRank)
 	opts   []Option
+	// patience is how long a gateway waits for the first event of an answer, 0 for as long
+	// as it takes.
+	patience time.Duration
+	// isOrdered is set if engines know the priority of requests.
+	isOrdered bool
+	// admits is set if gateways admit requests by their room, and not by places alone.
+	admits bool
 	seed   uint64
 	// onDecision is called with each decision, nil for none.
 	onDecision func(at time.Duration, r *replayRequest, d Decision)
 
-	random   *rand.Rand
-	placers  []*Placer
+	random    *rand.Rand
+	placers   []*Placer
+	admitters []*admitter.Admitter
+	// asking holds the requests that wait at each gateway.
+	asking   [][]*replayRequest
 	ranks    []*replayRank
 	lastPass time.Duration
 	requests []*replayRequest
@@ -119,12 +134,19 @@
 func (f *replay) newPlacers() []*Placer {
 	engine := replayEngine
 	catalog := &holder.Catalog{Services: []holder.Service{{Name: "llm", Engine: &engine}}}
-	var all []lister.Server
+	for _, k := range f.kinds {
+		catalog.Routes = append(catalog.Routes, holder.Route{
+			Name: k.name, Kind: holder.Streaming, Objective: k.objective, GapObjective: k.gap, Targets: []holder.Target{{Service: "llm", Weight: 1}},
+		})
+	}
+	all := make([]lister.Server, 0, f.engines)
 	for i := range f.engines {
 		all = append(all, lister.Server{ID: fmt.Sprintf("e%03d", i), Service: "llm", Addr: addr(i), Zone: "a", Slots: engine.Slots})
 	}
 	out := make([]*Placer, f.gateways)
+	f.asking = make([][]*replayRequest, f.gateways)
 	for i := range out {
+		f.admitters = append(f.admitters, admitter.New(admitter.WithRandom(rand.NewPCG(f.seed, uint64(i)))))
 		opts := append([]Option{WithRandom(rand.NewPCG(f.seed, uint64(i)))}, f.opts...)
 		out[i] = New(opts...)
 		out[i].SetCatalog(catalog)
@@ -151,6 +173,7 @@
 		}
 		if !now.Before(passEnd) {
 			f.endPass(now)
+			f.abandon(now)
 			passEnd = now.Add(f.beginPass(at))
 		}
 		if !now.Before(nextReport) {
@@ -158,6 +181,7 @@
 			nextReport = now.Add(100 * time.Millisecond)
 		}
 		f.deliverReports(now)
+		f.decideWaiting(now)
 		f.sendReturning(now)
 		for i := range f.kinds {
 			k := &f.kinds[i]
@@ -182,7 +206,7 @@
 	}
 	prompt := min(int(f.random.ExpFloat64()*k.meanPrompt)+40, 3*int(k.meanPrompt))
 	answer := min(max(int(f.random.ExpFloat64()*97), 5), 242)
-	return &replayRequest{kind: k, account: account, prompt: prompt, answer: answer, sent: now, unread: prompt, left: (answer + 4) / 5}
+	return &replayRequest{kind: k, account: account, prompt: prompt, answer: answer, sent: now, unread: prompt, left: (answer + 4) / 5, isImpatient: k.impatient > 0 && f.random.Float64() < k.impatient}
 }
 
 func (f *replay) sendReturning(now time.Time) {
@@ -195,35 +219,117 @@
 	})
 }
 
-func (f *replay) newWork(r *replayRequest) Work {
+// place lets a random gateway decide on a request.
+func (f *replay) place(r *replayRequest, now time.Time) {
+	r.gateway = f.random.IntN(f.gateways)
+	if !f.admits {
+		f.decide(r, f.newWork(r, now), now)
+		return
+	}
+	p, a := f.placers[r.gateway], f.admitters[r.gateway]
+	if a.NeedsRoom(now) {
+		room, gateways := p.GetRoom("llm", now)
+		a.SetRoom(room, gateways, now)
+	}
+	r.ticket = a.Ask(admitter.Request{
+		Kind: r.kind.name, Priority: r.kind.priority, Account: strconv.Itoa(r.account), Size: r.cost(), Bytes: r.prompt, Objective: r.kind.objective,
+		Deadline: r.deadline(), Returned: admitter.IsReturned(r.deadline().Sub(now), r.kind.timeout),
+	}, now)
+	f.asking[r.gateway] = append(f.asking[r.gateway], r)
+	f.decideWaiting(now)
+}
+
+// decideWaiting places the requests that were granted a place, and lets those return that
+// were refused.
+func (f *replay) decideWaiting(now time.Time) {
+	for g := range f.asking {
+		f.asking[g] = slices.DeleteFunc(f.asking[g], func(r *replayRequest) bool {
+			if !now.Before(r.ticket.LatestStart()) {
+				f.admitters[g].Expire(r.ticket, now)
+			}
+			switch v := f.admitters[g].GetDecision(r.ticket).(type) {
+			case *admitter.Granted:
+				w := f.newWork(r, now)
+				w.Admitted = true
+				f.decide(r, w, now)
+				return true
+			case *admitter.Refused:
+				f.refuse(r, v.RetryAfter, now)
+				return true
+			}
+			return false
+		})
+	}
+}
+
+func (f *replay) newWork(r *replayRequest, now time.Time) Work {
 	return Work{
 		Route: r.kind.name, Service: "llm", Zone: "a", Priority: r.kind.priority, EstimatedAnswerTokens: r.answer, MaxAnswerTokens: r.answer,
-		CallerTimeout: r.deadline().Sub(r.sent), Patience: 2 * time.Second, Deadline: r.deadline(),
+		CallerTimeout: r.deadline().Sub(now), Patience: 2 * time.Second, Deadline: r.deadline(),
 	}
 }
 
-// place lets a random gateway decide on a request.
-func (f *replay) place(r *replayRequest, now time.Time) {
-	w := f.newWork(r)
-	w.CallerTimeout = r.deadline().Sub(now)
-	d := f.placers[f.random.IntN(f.gateways)].Place(w, now)
+// impatientRepeats is how often an impatient caller repeats, impatientPause how soon.
+const (
+	impatientRepeats = 6
+	impatientPause   = 20 * time.Millisecond
+)
+
+// refuse lets the caller return once, or at once and often.
+func (f *replay) refuse(r *replayRequest, after time.Duration, now time.Time) {
+	r.refusals++
+	most := 1
+	if r.isImpatient {
+		most, after = impatientRepeats, impatientPause
+	}
+	if r.refusals <= most {
+		r.refusedAt = now.Add(after)
+		f.due = append(f.due, r)
+	}
+}
+
+func (f *replay) decide(r *replayRequest, w Work, now time.Time) {
+	d := f.placers[r.gateway].Place(w, now)
 	if f.onDecision != nil {
 		f.onDecision(now.Sub(start), r, d)
 	}
 	switch v := d.(type) {
 	case *Refused:
-		if r.refusals++; r.refusals == 1 {
-			r.refusedAt = now.Add(v.RetryAfter)
-			f.due = append(f.due, r)
-		}
+		f.release(r, now)
+		f.refuse(r, v.RetryAfter, now)
 	case *Placed:
-		r.placed = v
+		r.placed, r.placedAt = v, now
 		i, _ := strconv.Atoi(v.ID[1:])
 		f.ranks[i].waiting = append(f.ranks[i].waiting, r)
+		if !f.isOrdered {
+			return
+		}
 		slices.SortStableFunc(f.ranks[i].waiting, func(a, b *replayRequest) int { return cmp.Compare(a.kind.priority, b.kind.priority) })
 	}
 }
 
+func (f *replay) release(r *replayRequest, now time.Time) {
+	if r.ticket != nil {
+		f.admitters[r.gateway].Release(r.ticket, now)
+	}
+}
+
+// abandon removes the requests whose first event is overdue.
+func (f *replay) abandon(now time.Time) {
+	isOverdue := func(r *replayRequest) bool {
+		if !r.firstAt.IsZero() || f.patience == 0 || now.Sub(r.placedAt) < f.patience {
+			return false
+		}
+		r.placed.Finish(Cancelled, now)
+		f.release(r, now)
+		return true
+	}
+	for _, e := range f.ranks {
+		e.waiting = slices.DeleteFunc(e.waiting, isOverdue)
+		e.running = slices.DeleteFunc(e.running, isOverdue)
+	}
+}
+
 // beginPass admits waiting requests and returns the duration of the pass, which is that of
 // the slowest rank.
 func (f *replay) beginPass(at time.Duration) time.Duration {
@@ -278,6 +384,7 @@
 			}
 			r.ended = true
 			r.placed.Finish(Served, now)
+			f.release(r, now)
 			return true
 		})
 	}
--- a/internal/gateway/placer/room.go
+++ b/internal/gateway/placer/room.go
@@ -86,6 +86,9 @@
 	if p.engines[s.Service] != nil {
 		limit = s.Slots + maxEngineQueue
 	}
+	if w.Admitted {
+		return limit
+	}
 	if isClientRetry {
 		limit += clientRetryQueue
 	}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -90,13 +90,19 @@
 // NewGateway returns a Gateway that reads the catalog and the servers from source
 // and uses codec for the platform's headers.
 func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
-	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
+	var placerOpts []placer.Option
+	var forwarderOpts []forwarder.Option
+	if cfg.Gateway.Admission {
+		placerOpts = append(placerOpts, placer.WithReportLag(forwarder.GetReportLag()))
+		forwarderOpts = append(forwarderOpts, forwarder.WithAdmission())
+	}
+	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(placerOpts...), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
 	g.retryBudget = budgeter.New(budgeter.Bound{
 		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
 	}, time.Now())
 	g.catalog.OnChange(g.placer.SetCatalog)
 	g.servers.OnChange(g.placer.SetServers)
-	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone)
+	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone, forwarderOpts...)
 	g.watcher = watcher.New(source, g.catalog, g.servers, watcher.WithRole(g.watchesStore))
 	g.hello = &encoder.Hello{
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -103,6 +103,8 @@
 	// AdvertisePeers has the port of listen.peers, which is the same on all gateways.
 	AdvertisePeers netip.AddrPort `yaml:"advertise_peers" comment:"address under which others reach listen.peers, as behind a proxy; empty for listen.peers itself"`
 	SidecarPort    uint16         `yaml:"sidecar_port" comment:"port of the sidecars, at their backend servers' addresses; 0 for none"`
+	// Admission is off by default.
+	Admission bool `yaml:"admission" comment:"whether requests for model engines are admitted by what these can do within their callers' objectives"`
 }
 
 // Sidecar configures a sidecar, which runs beside a model engine.
