--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -15,10 +15,12 @@
 
 	"github.com/charmbracelet/log"
 
+	"siskinfall/internal/admission/admitter"
 	"siskinfall/internal/backend/dialer"
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/gateway/budgeter"
+	"siskinfall/internal/gateway/hedger"
 	"siskinfall/internal/gateway/placer"
 	"siskinfall/internal/gateway/quarantiner"
 )
@@ -121,6 +123,8 @@
 	pool       *dialer.Pool
 	quarantine *quarantiner.Set
 	codec      Codec
+	// hedger is nil where no second attempts are made.
+	hedger *hedger.Hedger
 	// zone is the availability zone of this gateway.
 	zone string
 	// drain is nil until the process is asked to stop.
@@ -128,15 +132,33 @@
 	// ended is done once requests in flight have to be answered, by endRequests.
 	ended       context.Context //nolint:containedctx // it ends with the process, not with a call
 	endRequests context.CancelFunc
+	// gates is nil without admission.
+	gates *gates
+}
+
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithSecondAttempts makes second attempts beside slow ones, for each request at most a ratio.
+func WithSecondAttempts(ratio float64) Option {
+	return func(f *Forwarder) {
+		if ratio > 0 {
+			f.hedger = hedger.New(ratio)
+		}
+	}
 }
 
 // New returns a Forwarder for the gateway in a zone.
-func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, quarantine *quarantiner.Set, codec Codec, zone string) *Forwarder {
+func New(catalog *holder.Holder, p *placer.Placer, budget *budgeter.Budget, pool *dialer.Pool, quarantine *quarantiner.Set, codec Codec, zone string, opts ...Option) *Forwarder {
 	ended, endRequests := context.WithCancel(context.Background())
-	return &Forwarder{
+	f := &Forwarder{
 		zone: zone, catalog: catalog, placer: p, budget: budget, pool: pool, quarantine: quarantine, codec: codec,
 		ended: ended, endRequests: endRequests,
 	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // ServeHTTP implements http.Handler.
@@ -179,6 +201,8 @@
 	// eventDeadline is when the next event is due; zero if the route has no
 	// patience.
 	eventDeadline time.Time
+	// ticket is the request's place at its service, nil without admission.
+	ticket *admitter.Ticket
 	// tried holds the IDs of the servers that were tried, in order.
 	tried []string
 	// placed is the latest placement, nil before the first.
@@ -230,6 +254,9 @@
 	x.extendEventDeadline(x.start)
 	x.service = pickTarget(x.route.Targets)
 	x.budget.AddRequest(x.service, x.start)
+	if x.hedger != nil {
+		x.hedger.AddRequest(x.service)
+	}
 	return true
 }
 
@@ -407,5 +434,6 @@
 	if x.lastEvent > 0 {
 		fields = append(fields, "last_event", x.lastEvent)
 	}
+	fields = append(fields, x.admissionFields()...)
 	log.Info("request ended", fields...)
 }
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -63,6 +63,9 @@
 	// case: those that should seem not to reach it. It is below the age at which requests are
 	// no longer denied by the catalog, and above the wait of a watch.
 	maxUnconfirmed = 4800 * time.Millisecond
+	// secondAttemptsShare is the share of the retries of all gateways that second attempts may
+	// take.
+	secondAttemptsShare = 0.5
 	// cleanupInterval is the time between two removals of lapsed servers and idle
 	// connections.
 	cleanupInterval = 500 * time.Millisecond
@@ -93,20 +96,30 @@
 // NewGateway returns a Gateway that reads the catalog and the servers from source
 // and uses codec for the platform's headers.
 func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
-	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), zones: withdrawer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
 	peersAddr := cfg.Listen.Peers
 	if cfg.Gateway.AdvertisePeers.IsValid() {
 		peersAddr = cfg.Gateway.AdvertisePeers
 	}
 	shares := apportioner.New(peersAddr, time.Now())
-	g.placer = placer.New(placer.WithShares(shares.GetShare))
+	placerOpts := []placer.Option{placer.WithShares(shares.GetShare)}
+	forwarderOpts := []forwarder.Option{
+		forwarder.WithSecondAttempts(min(cfg.Gateway.SecondAttempts, secondAttemptsShare*cfg.Gateway.RepeatRatio)),
+	}
+	if cfg.Gateway.Admission {
+		placerOpts = append(placerOpts, placer.WithReportLag(forwarder.GetReportLag()))
+		forwarderOpts = append(forwarderOpts, forwarder.WithAdmission())
+	}
+	g := &Gateway{
+		cfg: cfg, catalog: holder.New(), servers: lister.New(), zones: withdrawer.New(), placer: placer.New(placerOpts...),
+		pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers()),
+	}
 	g.retryBudget = budgeter.New(budgeter.Bound{
 		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
 	}, time.Now())
 	g.catalog.OnChange(g.placer.SetCatalog)
 	g.servers.OnChange(g.placer.SetServers)
 	g.zones.OnChange(func(closed []string) { g.placer.SetClosedZones(closed, time.Now()) })
-	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone)
+	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone, forwarderOpts...)
 	g.watcher = watcher.New(source, g.catalog, g.servers, watcher.WithRole(g.watchesStore), watcher.WithZones(g.zones))
 	g.hello = &encoder.Hello{
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
