Placer: the cold state of a server stands with it

A placement among 64 servers looked each one up in two maps while their service has cold terms. It reads a pointer now.

--- a/internal/gateway/placer/closure.go
+++ b/internal/gateway/placer/closure.go
@@ -175,7 +175,7 @@
 		case asksForPause:
 			wait = p.closures[incarnationOf(&s.Server)].pausedUntil.Sub(now)
 		case isAtColdRate:
-			wait = p.untilColdRate(s, now)
+			wait = s.untilColdRate(now)
 		default:
 		}
 		if reason == notClosed || wait < after {
--- a/internal/gateway/placer/cold.go
+++ b/internal/gateway/placer/cold.go
@@ -76,6 +76,7 @@
 // has servers that started long ago.
 func (p *Placer) trackCold(isFirst bool, now time.Time) {
 	for _, s := range p.servers {
+		s.cold = nil
 		terms, ok := p.coldTerms[s.Service]
 		if !ok {
 			continue
@@ -93,6 +94,7 @@
 		}
 		c.extend(s.ColdUntil)
 		c.listedAt = now
+		s.cold, s.coldTerms = c, terms
 	}
 	for key, c := range p.cold {
 		if now.Sub(c.listedAt) > coldTTL {
@@ -101,20 +103,11 @@
 	}
 }
 
-// getCold returns the state and the terms of a server, nil if its service has none.
-func (p *Placer) getCold(s *server) (*coldness, coldTerms) {
-	terms, ok := p.coldTerms[s.Service]
-	if !ok {
-		return nil, coldTerms{}
-	}
-	return p.cold[incarnationOf(&s.Server)], terms
-}
-
 // restartCold begins the state of a server that has started again under its ID. What was sent
 // lately may have reached the new incarnation.
 func (p *Placer) restartCold(old, s *server, now time.Time) {
-	if c, terms := p.getCold(old); c != nil {
-		p.cold[incarnationOf(&s.Server)] = &coldness{sent: slices.Clone(c.sent), until: now.Add(terms.start)}
+	if c := old.cold; c != nil {
+		p.cold[incarnationOf(&s.Server)] = &coldness{sent: slices.Clone(c.sent), until: now.Add(old.coldTerms.start)}
 	}
 }
 
@@ -129,56 +122,56 @@
 }
 
 // setColdFromStart makes a server cold as after a start, if its service has cold terms.
-func (p *Placer) setColdFromStart(s *server, now time.Time) {
-	if c, terms := p.getCold(s); c != nil {
-		c.extend(now.Add(terms.start))
+func (s *server) setColdFromStart(now time.Time) {
+	if s.cold != nil {
+		s.cold.extend(now.Add(s.coldTerms.start))
 	}
 }
 
 // isCold reports whether a server is cold, and logs when that changes.
-func (p *Placer) isCold(s *server, c *coldness, terms coldTerms, now time.Time) bool {
-	cold := now.Before(c.until)
-	if cold == c.wasCold {
+func (p *Placer) isCold(s *server, now time.Time) bool {
+	if s.cold == nil {
+		return false
+	}
+	cold := now.Before(s.cold.until)
+	if cold == s.cold.wasCold {
 		return cold
 	}
-	c.wasCold = cold
+	s.cold.wasCold = cold
 	if cold {
 		coldServers.Inc()
 	}
 	log.Info("state of backend server changed", "event", "server_cold", "server", s.ID, "service", s.Service, "zone", s.Zone,
-		"cold", cold, "for", max(c.until.Sub(now), 0), "share", p.shareOf(terms.units(), s.ID), "units", terms.units())
+		"cold", cold, "for", max(s.cold.until.Sub(now), 0), "share", p.shareOf(s.coldTerms.units(), s.ID), "units", s.coldTerms.units())
 	return cold
 }
 
-// countLeft returns how many requests this gateway may still send to a cold server now, beside
-// a number that are counted already.
-func (p *Placer) countLeft(s *server, c *coldness, terms coldTerms, counted int, now time.Time) int {
-	c.prune(terms.window(), now)
-	return p.shareOf(terms.units(), s.ID) - len(c.sent) - counted
+// countLeft returns how many requests this gateway may still send to a cold server now.
+func (p *Placer) countLeft(s *server, now time.Time) int {
+	s.cold.prune(s.coldTerms.window(), now)
+	return p.shareOf(s.coldTerms.units(), s.ID) - len(s.cold.sent)
 }
 
 // isAtColdRate reports whether a server is cold and gets no further request of this gateway
 // now.
 func (p *Placer) isAtColdRate(s *server, now time.Time) bool {
-	c, terms := p.getCold(s)
-	return c != nil && p.isCold(s, c, terms, now) && p.countLeft(s, c, terms, c.reserved, now) <= 0
+	return p.isCold(s, now) && p.countLeft(s, now) <= s.cold.reserved
 }
 
 // untilColdRate returns the time until a cold server may get the next request.
-func (p *Placer) untilColdRate(s *server, now time.Time) time.Duration {
-	c, terms := p.getCold(s)
-	if c == nil || len(c.sent) == 0 {
+func (s *server) untilColdRate(now time.Time) time.Duration {
+	if s.cold == nil || len(s.cold.sent) == 0 {
 		return defaultRetryAfter
 	}
-	return max(c.sent[0].Add(terms.window()).Sub(now), 0)
+	return max(s.cold.sent[0].Add(s.coldTerms.window()).Sub(now), 0)
 }
 
-// reserve counts a placed request that is not sent yet.
-func (p *Placer) reserve(placed *Placed, now time.Time) {
-	if c, _ := p.getCold(placed.server); c != nil {
-		placed.Cold = now.Before(c.until)
+// reserve counts a request that is not sent yet.
+func (p *Placed) reserve(now time.Time) {
+	if c := p.server.cold; c != nil {
+		p.Cold = now.Before(c.until)
 		c.reserved++
-		placed.reserved = c
+		p.reserved = c
 	}
 }
 
@@ -198,20 +191,19 @@
 	if r := p.placedReason(now); r != notClosed {
 		return string(r)
 	}
-	c, terms := p.placer.getCold(p.server)
-	if c == nil {
+	if p.server.cold == nil {
 		return string(notClosed)
 	}
 	if current := p.placer.servers[p.ID]; current != nil && current != p.server {
 		return reasonRestarted
 	}
 	// Its own reservation does not count: the server may have turned cold since.
-	if p.placer.isCold(p.server, c, terms, now) && p.placer.countLeft(p.server, c, terms, 0, now) <= 0 {
+	if p.placer.isCold(p.server, now) && p.placer.countLeft(p.server, now) <= 0 {
 		countHeldBack(p.Service)
 		return string(isAtColdRate)
 	}
 	p.release()
-	c.prune(terms.window(), now)
-	c.sent = append(c.sent, now)
+	p.server.cold.prune(p.server.coldTerms.window(), now)
+	p.server.cold.sent = append(p.server.cold.sent, now)
 	return string(notClosed)
 }
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -148,6 +148,9 @@
 	// the number it has finished since the last report.
 	deltaSinceReport int
 	load             Load
+	// cold and coldTerms are nil and zero if the service has no cold terms.
+	cold      *coldness
+	coldTerms coldTerms
 	// placedAt holds when the latest requests were placed, in order; only those that a
 	// report may lack, and none without a report lag.
 	placedAt []time.Time
@@ -319,7 +322,7 @@
 			s.load, s.deltaSinceReport = load, s.countUnseen(load.At.Add(-p.reportLag))
 		} else if started.After(s.Started) {
 			// What is sent to the listed incarnation reaches the new one.
-			p.setColdFromStart(s, load.At)
+			s.setColdFromStart(load.At)
 		}
 		p.getGroup(load.Group).record(s.Service, addr, load)
 	}
@@ -403,7 +406,7 @@
 		best.placedAt = append(best.placedAt, now)
 	}
 	p.recordPlaced(best)
-	p.reserve(placed, now)
+	placed.reserve(now)
 	best.deltaSinceReport++
 	countPlaced(w.Service)
 	return placed
--- a/internal/gateway/placer/zone.go
+++ b/internal/gateway/placer/zone.go
@@ -27,7 +27,7 @@
 			c := p.getClosure(s.Server, now)
 			c.returning, c.placed, c.served = true, 0, 0
 			// The list may be behind, and the zone's servers have had no work.
-			p.setColdFromStart(s, now)
+			s.setColdFromStart(now)
 		}
 	}
 	for _, zone := range closed {
