Placer: servers whose entries come back are not cold for that

After an outage of the store the entries of running servers come back one after the other. Each that was not in the list before counted as started just now, so that a whole service with cold terms went to its cold rate for the time of a start; a gateway that had started less than 4 s before sent it nothing. An incarnation counts as started just now only if its own start, with 10 s for clocks that differ, allows it.

TestServersListedAgainAreNotColdForThat fails if each new entry counts as a start, and if the first list never does.

--- a/internal/gateway/placer/cold.go
+++ b/internal/gateway/placer/cold.go
@@ -20,6 +20,8 @@
 	// coldTTL is how long an incarnation that the list no longer has is remembered: it may be
 	// listed again as it was.
 	coldTTL = time.Minute
+	// maxClockError is how far the clocks of a server and of this process may differ.
+	maxClockError = 10 * time.Second
 )
 
 // reasonRestarted is why a placed request is not sent to another incarnation than it was
@@ -72,8 +74,16 @@
 	c.sent = c.sent[n:]
 }
 
-// trackCold creates or updates the state of the listed servers. The first list of a process
-// has servers that started long ago.
+// hasStartedLongAgo reports whether an incarnation that is listed for the first time is past its
+// start. One that does not tell its start is, if it is in the first list of this process.
+func hasStartedLongAgo(s *lister.Server, terms coldTerms, isFirst bool, now time.Time) bool {
+	if s.Started.IsZero() || s.Started.UnixMilli() == 0 {
+		return isFirst
+	}
+	return now.Sub(s.Started) > terms.start+maxClockError
+}
+
+// trackCold creates or updates the state of the listed servers.
 func (p *Placer) trackCold(isFirst bool, now time.Time) {
 	for _, s := range p.servers {
 		s.cold = nil
@@ -85,11 +95,9 @@
 		c := p.cold[key]
 		if c == nil {
 			c = &coldness{}
-			startedAt := now
-			if isFirst && s.Started.Before(now) {
-				startedAt = s.Started
+			if !hasStartedLongAgo(&s.Server, terms, isFirst, now) {
+				c.extend(now.Add(terms.start))
 			}
-			c.extend(startedAt.Add(terms.start))
 			p.cold[key] = c
 		}
 		c.extend(s.ColdUntil)
--- a/internal/gateway/placer/cold_test.go
+++ b/internal/gateway/placer/cold_test.go
@@ -154,3 +154,23 @@
 	last.Finish(Unreachable, start)
 	c.Check(p.cold[incarnationOf(&all[0])].reserved, qt.Equals, testColdRate-1)
 }
+
+// TestServersListedAgainAreNotColdForThat guards against a fleet that is cold after an outage of
+// the store, since its entries come back one after the other, and against a server that has
+// just started and is in the first list of a gateway.
+func TestServersListedAgainAreNotColdForThat(t *testing.T) {
+	c := qt.New(t)
+	p, all := newColdPlacer(1)
+	now := start.Add(time.Minute)
+	late := all[0]
+	late.ID, late.Started = "late", start.Add(-time.Hour)
+	p.setServers([]lister.Server{late}, now)
+	c.Check(sendAll(p, now) > testColdRate, qt.IsTrue)
+	late.ID, late.Started = "unknown", time.UnixMilli(0)
+	p.setServers([]lister.Server{late}, now)
+	c.Check(sendAll(p, now), qt.Equals, testColdRate)
+	first, _ := newColdPlacer(0)
+	late.ID, late.Started = "young", now.Add(-time.Second)
+	first.setServers([]lister.Server{late}, now)
+	c.Check(sendAll(first, now), qt.Equals, testColdRate)
+}
