Placer: one question before a request is written

BeginSend replaced GetClosedReason on the way to a server; only a test still asked the latter. The test of zones asks BeginSend, which is as strict. No behaviour changes.

--- a/internal/gateway/placer/closure.go
+++ b/internal/gateway/placer/closure.go
@@ -188,14 +188,6 @@
 	return &Refused{Reason: "each backend server is closed: " + string(reason), RetryAfter: w.capRetryAfter(after, now), AllClosed: true}
 }
 
-// GetClosedReason says why nothing may be sent to the server any more that was placed, empty
-// if it may.
-func (p *Placed) GetClosedReason(now time.Time) string {
-	p.placer.mu.Lock()
-	defer p.placer.mu.Unlock()
-	return string(p.placedReason(now))
-}
-
 // placedReason leaves out the reasons for which the request itself is counted already.
 func (p *Placed) placedReason(now time.Time) closedReason {
 	if r := p.placer.closedReason(p.server, now); r != isReturning && r != isAtColdRate {
--- a/internal/gateway/placer/zone_test.go
+++ b/internal/gateway/placer/zone_test.go
@@ -28,7 +28,7 @@
 	p := newZonedPlacer("zone-a", "zone-b")
 	placed := place(p, start)
 	p.SetClosedZones([]string{placed.Zone}, start)
-	c.Check(placed.GetClosedReason(start), qt.Equals, string(zoneIsClosed))
+	c.Check(placed.BeginSend(start), qt.Equals, string(zoneIsClosed))
 	for range 5 {
 		other := place(p, start)
 		c.Assert(other, qt.Not(qt.IsNil))
