Forwarder: engines are told the priority of requests that needed no place

A request that came while no engine could run a pass was sent without its priority, and went behind all others at its engine once the group was back.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -211,7 +211,7 @@
 	if x.account != nil {
 		out.Account = x.account.Name
 	}
-	if x.ticket != nil {
+	if x.gates != nil && p.IsEngine() {
 		out.Priority = min(max(x.getPriority(), 0), maxEnginePriority)
 	}
 	x.codec.EncodeRequest(h, out)
