--- a/internal/gateway/placer/admission_test.go
+++ b/internal/gateway/placer/admission_test.go
@@ -244,3 +244,31 @@
 	c.Check(p.served >= 0.99, qt.IsTrue, qt.Commentf("%.3f", p.served))
 	c.Check(p.inTime >= 0.95, qt.IsTrue, qt.Commentf("%.3f", p.inTime))
 }
+
+// TestSkewedMapTakesNoRoomFromUrgent guards the seconds in which a group that has opened again
+// runs with a map of three times the pass time, and every answer is late: they are still
+// served, the urgent ones first, and those that come after are in time again.
+func TestSkewedMapTakesNoRoomFromUrgent(t *testing.T) {
+	c := qt.New(t)
+	f := replay{kinds: newCompetingKinds(0.8), length: 24 * time.Second, seed: 8}
+	f.skew = func(at time.Duration) float64 {
+		if at > seconds(4) && at < seconds(8) {
+			return 3.3
+		}
+		return 1.17
+	}
+	before, after := compareRules(c, f)
+	assertNobodyStarves(c, f, after)
+	assertUrgentFirst(c, f, after)
+	assertInTime(c, f, before, after)
+	urgent := func(from, to float64) func(*replayRequest) bool {
+		return func(r *replayRequest) bool {
+			return r.kind.priority == 0 && r.sent.Sub(start) > seconds(from) && r.sent.Sub(start) < seconds(to)
+		}
+	}
+	a, b := measure(before, f.length, urgent(4, 8)), measure(after, f.length, urgent(4, 8))
+	c.Check(b.served >= a.served, qt.IsTrue, qt.Commentf("urgent, skewed: %.2f before, %.2f after", a.served, b.served))
+	a, b = measure(before, f.length, urgent(8, 12)), measure(after, f.length, urgent(8, 12))
+	c.Check(b.inTime >= a.inTime, qt.IsTrue, qt.Commentf("urgent, after it: %.2f before, %.2f after", a.inTime, b.inTime))
+	c.Logf("urgent, sent in the 4 s after: %.2f in time before, %.2f after", a.inTime, b.inTime)
+}
