Acceptor: bound the sessions and the first frame of peers

What was seen: 400 connections that send a part of a first frame held 415 descriptors of an instance with 320, and a first frame could announce 8 MB before the other side had said who it is. Change: a Hello has 4 KiB at most; an Acceptor may bound the connections in their handshake, of which the oldest gives way, and those after it.

--- a/internal/wire/connector/acceptor.go
+++ b/internal/wire/connector/acceptor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,11 +28,63 @@
 	own     *encoder.Hello
 	handler Handler
 	wg      sync.WaitGroup
+	mu      sync.Mutex
+	// connecting holds the connections before the end of their handshake, the oldest first.
+	connecting []net.Conn
+	// sessions counts the connections after it.
+	sessions int
+	// maxConnecting and maxSessions are 0 without bounds.
+	maxConnecting, maxSessions int
+}
+
+// AcceptorOption configures an Acceptor.
+type AcceptorOption func(*Acceptor)
+
+// WithMaxSessions bounds the connections before and after the handshake.
+func WithMaxSessions(connecting, sessions int) AcceptorOption {
+	return func(a *Acceptor) { a.maxConnecting, a.maxSessions = connecting, sessions }
 }
 
 // NewAcceptor returns an Acceptor that sends own in its handshakes.
-func NewAcceptor(own *encoder.Hello, handler Handler) *Acceptor {
-	return &Acceptor{own: own, handler: handler}
+func NewAcceptor(own *encoder.Hello, handler Handler, opts ...AcceptorOption) *Acceptor {
+	a := &Acceptor{own: own, handler: handler}
+	for _, f := range opts {
+		f(a)
+	}
+	return a
+}
+
+// startHandshake adds a connection. At the bound it closes the oldest, since the handshake of
+// an instance takes one round trip.
+func (a *Acceptor) startHandshake(conn net.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.connecting = append(a.connecting, conn)
+	if a.maxConnecting > 0 && len(a.connecting) > a.maxConnecting {
+		_ = a.connecting[0].Close()
+		a.connecting = slices.Delete(a.connecting, 0, 1)
+	}
+}
+
+// endHandshake removes a connection. It reports whether there is room for a session with the
+// peer, which must then be ended.
+func (a *Acceptor) endHandshake(conn net.Conn, succeeded bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if i := slices.Index(a.connecting, conn); i >= 0 {
+		a.connecting = slices.Delete(a.connecting, i, i+1)
+	}
+	if !succeeded || a.maxSessions > 0 && a.sessions >= a.maxSessions {
+		return false
+	}
+	a.sessions++
+	return true
+}
+
+func (a *Acceptor) endSession() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sessions--
 }
 
 // Serve accepts sessions on ln until ctx ends, then closes them all and waits
@@ -54,6 +107,7 @@
 			sleeper.Sleep(ctx, acceptBackoff)
 			continue
 		}
+		a.startHandshake(conn)
 		a.wg.Go(func() { a.serveConn(ctx, conn) })
 	}
 }
@@ -63,10 +117,11 @@
 	defer cancel()
 	defer func() { _ = conn.Close() }()
 	peer, err := handshake(conn, a.own, false)
-	if err != nil {
+	if !a.endHandshake(conn, err == nil) {
 		log.Warn("handshake failed", "step", "handshake", "peer", conn.RemoteAddr(), "error", err)
 		return
 	}
+	defer a.endSession()
 	session, err := yamux.Server(newCoalescer(conn), newConfig())
 	if err != nil {
 		return
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -30,6 +30,9 @@
 // acceptBacklog is the number of streams that may wait to be accepted.
 const acceptBacklog = 512
 
+// maxHelloBytes bounds the first frame, which is read from anyone who connects.
+const maxHelloBytes = 4 << 10
+
 // writeBufferSize is the size of a stream's write buffer, in bytes.
 const writeBufferSize = 1 << 10
 
@@ -111,7 +114,7 @@
 
 // readHello reads byte by byte so that nothing after the frame is consumed.
 func readHello(conn net.Conn, m *encoder.Hello) error {
-	return encoder.NewReader(&oneByteReader{r: conn}).Read(m)
+	return encoder.NewReader(&oneByteReader{r: conn}).ReadLimited(m, maxHelloBytes)
 }
 
 type oneByteReader struct{ r io.Reader }
--- a/internal/wire/encoder/frame.go
+++ b/internal/wire/encoder/frame.go
@@ -30,8 +30,11 @@
 }
 
 // Read decodes the next frame into m. A frame above MaxFrame is an error.
-func (r *Reader) Read(m proto.Message) error {
-	opts := protodelim.UnmarshalOptions{MaxSize: MaxFrame}
+func (r *Reader) Read(m proto.Message) error { return r.ReadLimited(m, MaxFrame) }
+
+// ReadLimited is Read with a limit of its own.
+func (r *Reader) ReadLimited(m proto.Message, limit int64) error {
+	opts := protodelim.UnmarshalOptions{MaxSize: limit}
 	return opts.UnmarshalFrom(r.r, m)
 }
 
