Gateway: bound what callers' connections hold

What callers saw: a gateway whose instance has 96 MB and 320 descriptors reached, with 400 connections that misbehave, 476 MB (bodies in small pieces or chunks that stop before their end), 370 and 300 MB (bodies over the limit), 249 MB (in one piece), 124 MB (very many short fields), and 271 MB and 916 descriptors with all of them mixed; every crowd held 328 to 862 descriptors, on a route, without one, at the readiness check and at the listener for peers.

Cause: bodies were read whole before anything was asked, nothing bounded the connections, and neither a body nor an answer had to make progress. A refusal before the body waited for its end.

Change: the evictor opens an account for each connection and charges heads as they arrive; the forwarder charges bodies before it takes memory for more, and buffers less of an answer when there is no room. Bodies have a deadline by their progress, answers one for each part. What is refused gets 413, 431, 408 or 503 before anything is passed on, its body is not read to the end, and the sending side is closed first, so that the answer arrives.

--- a/internal/gateway/evictor/evictor.go
+++ b/internal/gateway/evictor/evictor.go
@@ -1,18 +1,16 @@
 // Package evictor closes client connections that are idle, or take to send the head of
-// a request, for longer than the limits of the catalog.
+// a request, for longer than the limits of the catalog, that don't take their answers, and
+// those that have to give way at the bounds of package process/accountant.
 package evictor
 
 import (
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/charmbracelet/log"
-
 	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/process/accountant"
 )
 
 const (
@@ -23,40 +21,36 @@
 	defaultIdleTimeout = 3 * time.Minute
 )
 
-var evicted = metrics.NewCounter("siskinfall_gateway_connections_evicted_total")
-
-// Evictor applies the timeouts to the connections of an http.Server. It is safe for
+// Evictor applies timeouts and bounds to the connections of an http.Server. It is safe for
 // concurrent use.
-type Evictor struct{ catalog *holder.Holder }
-
-// phase is the state of a connection; it determines the timeout.
-type phase int
+type Evictor struct {
+	catalog *holder.Holder
+	// accounts is nil without bounds.
+	accounts *accountant.Accountant
+	refusal  http.HandlerFunc
+	causes   counters
+}
 
-const (
-	// idle connections have no request in progress.
-	idle phase = iota
-	// readingHead connections have received a part of a request's head.
-	readingHead
-	// serving connections have a request in progress, which is bounded by the
-	// timeout of its route, or are being closed.
-	serving
-)
+// Option configures an Evictor.
+type Option func(*Evictor)
 
-// conn is a client connection.
-type conn struct {
-	net.Conn
-	*Evictor
-	mu    sync.Mutex
-	phase phase
-	// timer closes the connection at the timeout of the phase; it is stopped while
-	// serving.
-	timer *time.Timer
-}
+// WithAccounts sets the bounds of the connections.
+func WithAccounts(a *accountant.Accountant) Option { return func(e *Evictor) { e.accounts = a } }
 
-type connKey struct{}
+// WithRefusal sets what answers a request for which there is no room. By default the status
+// is 503. The connection is closed in any case.
+func WithRefusal(h http.HandlerFunc) Option { return func(e *Evictor) { e.refusal = h } }
 
 // New returns an Evictor that uses the limits of the catalog.
-func New(catalog *holder.Holder) *Evictor { return &Evictor{catalog: catalog} }
+func New(catalog *holder.Holder, opts ...Option) *Evictor {
+	e := &Evictor{catalog: catalog, refusal: func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "too many requests", http.StatusServiceUnavailable)
+	}}
+	for _, f := range opts {
+		f(e)
+	}
+	return e
+}
 
 // listener wraps accepted connections.
 type listener struct {
@@ -64,18 +58,36 @@
 	*Evictor
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Connections for which there is no room are closed.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if cc := l.newConn(c); cc != nil {
+			return cc, nil
+		}
+		l.causes.count(causeNoRoom, c.RemoteAddr(), l.catalog.GetVersion())
+		_ = c.Close()
+	}
+}
+
+// newConn returns nil if there is no room for the connection.
+func (e *Evictor) newConn(c net.Conn) *conn {
+	cc := &conn{Conn: c, Evictor: e}
+	if e.accounts != nil {
+		if cc.account = e.accounts.Open(cc, time.Now()); cc.account == nil {
+			return nil
+		}
 	}
-	cc := &conn{Conn: c, Evictor: l.Evictor}
 	// A caller may connect some time before its first request.
 	cc.setPhase(idle)
-	return cc, nil
+	return cc
 }
 
+type connKey struct{}
+
 // Watch hooks into a server's handler and connection states. The server must serve on
 // the returned listener.
 func (e *Evictor) Watch(s *http.Server, ln net.Listener) net.Listener {
@@ -84,11 +96,15 @@
 		if nextContext != nil {
 			ctx = nextContext(ctx, c)
 		}
+		if cc, ok := c.(*conn); ok && cc.account != nil {
+			ctx = accountant.NewContext(ctx, cc.account)
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	next := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if cc, ok := c.(*conn); ok && state == http.StateIdle {
+			cc.account.End(time.Now())
 			cc.setPhase(idle)
 		}
 		if next != nil {
@@ -97,69 +113,17 @@
 	}
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.setPhase(serving)
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.begin(r) {
+			e.causes.count(causeNoRoom, c.RemoteAddr(), e.catalog.GetVersion())
+			w.Header().Set("Connection", "close")
+			e.refusal(w, r)
+			return
 		}
 		handler.ServeHTTP(w, r)
 	})
 	return &listener{Listener: ln, Evictor: e}
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && c.isIdle() {
-		c.setPhase(readingHead)
-	}
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.setPhase(serving)
-	return c.Conn.Close()
-}
-
-// SetLinger sets the behaviour of Close like that of net.TCPConn. It does nothing for a
-// connection of another kind.
-func (c *conn) SetLinger(sec int) error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.SetLinger(sec)
-	}
-	return nil
-}
-
-func (c *conn) isIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == idle
-}
-
-// setPhase starts a phase and its timeout.
-func (c *conn) setPhase(next phase) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.timer != nil {
-		c.timer.Stop()
-	}
-	c.phase = next
-	switch next {
-	case idle:
-		c.timer = time.AfterFunc(c.idleTimeout(), func() { c.evict("idle") })
-	case readingHead:
-		c.timer = time.AfterFunc(c.headerTimeout(), func() { c.evict("request head too slow") })
-	case serving:
-	}
-}
-
-func (c *conn) evict(reason string) {
-	evicted.Inc()
-	log.Info("client connection evicted", "event", "evicted", "caller", c.RemoteAddr(), "reason", reason, "catalog", c.catalog.GetVersion())
-	if err := c.Conn.Close(); err != nil {
-		log.Info("closing the client connection failed", "event", "evicted", "caller", c.RemoteAddr(), "error", err)
-	}
-}
-
 func (e *Evictor) headerTimeout() time.Duration {
 	if c := e.catalog.Get(); c != nil && c.Limits.HeaderTimeout > 0 {
 		return c.Limits.HeaderTimeout
--- a/internal/gateway/forwarder/answer.go
+++ b/internal/gateway/forwarder/answer.go
@@ -11,6 +11,7 @@
 
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/gateway/placer"
+	"siskinfall/internal/process/accountant"
 )
 
 // maxBufferedBytes is the size up to which an answer is buffered before it is relayed,
@@ -20,7 +21,7 @@
 // relayAnswer relays an answer that is not an event stream.
 func (x *exchange) relayAnswer(ctx context.Context, p *placer.Placed, a *answered) nextAction {
 	var buffered bytes.Buffer
-	_, err := io.CopyN(&buffered, a.resp.Body, maxBufferedBytes)
+	err := x.bufferAnswer(&buffered, a.resp.Body)
 	if err != nil && !errors.Is(err, io.EOF) {
 		a.release(false, x.pool)
 		return x.handleUnknown(ctx, p, err)
@@ -49,6 +50,17 @@
 	return x.finishAnswer(p, a, written, err)
 }
 
+// bufferAnswer reads the first part of an answer, less of it while callers hold the memory for
+// answers. The error is io.EOF if that is all of it.
+func (x *exchange) bufferAnswer(buffered *bytes.Buffer, body io.Reader) error {
+	_, err := io.CopyN(buffered, body, accountant.FreeAnswerBytes)
+	if err != nil || !x.memory.Reserve(accountant.Answer, maxBufferedBytes, time.Now()) {
+		return err
+	}
+	_, err = io.CopyN(buffered, body, maxBufferedBytes-accountant.FreeAnswerBytes)
+	return err
+}
+
 // isRetryableFailure reports whether a failure of a backend server calls for a retry;
 // the caller gets this failure if no retry is possible.
 func (x *exchange) isRetryableFailure(status int) bool {
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -21,6 +20,7 @@
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/placer"
 	"siskinfall/internal/gateway/quarantiner"
+	"siskinfall/internal/process/accountant"
 )
 
 // Request holds what the headers of a caller's request contain.
@@ -139,8 +139,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := f.codec.DecodeRequest(r.Header)
-	x := &exchange{Forwarder: f, w: newReply(w, r, req.ID), r: r, start: time.Now(), Request: req}
+	x := f.newExchange(w, r)
 	if x.admit() && x.readBody() && x.checkDrain(time.Now()) && x.checkQuarantine() {
 		x.serve(r.Context())
 	}
@@ -150,6 +149,13 @@
 	x.w.end()
 }
 
+func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	req := f.codec.DecodeRequest(r.Header)
+	return &exchange{
+		Forwarder: f, w: newReply(w, r, req.ID), r: r, start: time.Now(), Request: req, memory: accountant.FromContext(r.Context()),
+	}
+}
+
 // exchange is the state of one request over its attempts at backend servers.
 type exchange struct {
 	*Forwarder
@@ -163,7 +169,11 @@
 	// account is nil on public routes, and if the catalog requires no keys.
 	account *holder.Account
 	service string
-	body    []byte
+	// memory is the account of the caller's connection, nil without bounds.
+	memory *accountant.Account
+	body   []byte
+	// hasBody is set once the body has been read to its end.
+	hasBody bool
 	// digest identifies the request across client retries.
 	digest uint64
 	// parts holds the digests of the shared parts of the prompt, in its order.
@@ -297,30 +307,6 @@
 	return targets[0].Service
 }
 
-// readBody reads the whole request body, so that the request can be retried. It answers
-// and reports false if the body is too large, and only reports false if it breaks off.
-func (x *exchange) readBody() bool {
-	limit := x.snapshot.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength == 0 {
-		return true
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w.ResponseWriter, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.fail(http.StatusRequestEntityTooLarge, "body too large", 0)
-		return false
-	case err != nil:
-		log.Info("reading the request body failed", "event", "ended", "request", x.ID, "step", "read_body", "error", err)
-		return false
-	}
-	x.body = body
-	return true
-}
-
 // checkQuarantine reports whether the request may be sent, or answers that it has
 // crashed too many servers and reports false.
 func (x *exchange) checkQuarantine() bool {
@@ -365,6 +351,7 @@
 	if promisesNotRun(status) && asserter.Holds(!x.mayHaveRun, asserter.RuleNotRun, "request %s, status %d, %s", x.ID, status, reason) != nil {
 		status = http.StatusBadGateway
 	}
+	x.abandonBody()
 	x.codec.EncodeRefusal(x.w.Header(), x.ID, retryAfter)
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	err := x.w.sendHead(status)
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -27,6 +27,7 @@
 	"siskinfall/internal/gateway/forwarder"
 	"siskinfall/internal/gateway/placer"
 	"siskinfall/internal/gateway/quarantiner"
+	"siskinfall/internal/process/accountant"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/process/tuner"
 	"siskinfall/internal/report/logger"
@@ -172,14 +173,18 @@
 		// OPTIONS * has no route; net/http would answer it with a success.
 		DisableGeneralOptionsHandler: true,
 	}
-	callers = evictor.New(g.catalog).Watch(callerServer, callers)
-	adminServer := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
+	accounts := accountant.New(newCallerBounds(g.cfg.Gateway.Memory, g.cfg.Gateway.Descriptors))
+	callers = evictor.New(g.catalog, evictor.WithAccounts(accounts), evictor.WithRefusal(g.forwarder.Refuse)).Watch(callerServer, callers)
+	adminServer, admin := newAdminServer(g.adminHandler(), admin, g.cfg.Gateway.Memory, g.cfg.Gateway.Descriptors)
+	exportHeld(accounts)
 	var wg sync.WaitGroup
 	if err := ls.serveMetrics(ctx, &wg, g.cfg.Listen.Metrics); err != nil {
 		return err
 	}
 	runAll(ctx, &wg, g.watcher.RunCatalog, g.watcher.RunServers, tuner.Run, g.cleanUp, logReloads(RoleGateway), g.subscriber.Run, g.gossiper.Run)
-	wg.Go(func() { _ = connector.NewAcceptor(g.hello, g.handle).Serve(ctx, peers) })
+	wg.Go(func() {
+		_ = connector.NewAcceptor(g.hello, g.handle, newSessionBounds(g.cfg.Gateway.Descriptors)).Serve(ctx, peers)
+	})
 	wg.Go(func() { serveHTTP(callerServer, callers) })
 	wg.Go(func() { serveHTTP(adminServer, admin) })
 	log.Info("started", "event", "start", "role", "gateway", "callers", callers.Addr(), "admin", admin.Addr())
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -92,6 +92,8 @@
 // Gateway configures a gateway, which hands requests to backend servers itself.
 type Gateway struct {
 	Memory int `yaml:"memory_megabytes" validate:"min=32,max=65536" comment:"memory that the process may use"`
+	// Descriptors bounds the connections of callers and those to backend servers together.
+	Descriptors int `yaml:"max_descriptors" validate:"min=64,max=1048576" comment:"files and connections that the process may have open"`
 	// RotationDelay plus the time of the longest request must stay below Grace.
 	RotationDelay time.Duration `yaml:"rotation_delay" validate:"min=0,max=1m" comment:"how long new connections still come after a shutdown has begun"`
 	Grace         time.Duration `yaml:"grace" validate:"min=1s,max=1h" comment:"time between the request to stop and the kill"`
@@ -154,6 +156,7 @@
 		},
 		Gateway: Gateway{
 			Memory:        256,
+			Descriptors:   4096,
 			RotationDelay: 2200 * time.Millisecond,
 			Grace:         30 * time.Second,
 			RepeatRatio:   0.2,
