Entry: bound what callers' connections hold

What callers saw: an entry read each body whole, up to its limit, however many came at once; only the time of each was bounded. Change: the reading of bodies moves from the forwarder to process/receiver, which entry/server uses too; the listener for callers of an entry gets the evictor with an accountant, by entry.memory_megabytes (1024 by default) and entry.max_descriptors (16384). A body without room gets 503, busy, not run. After a refusal before the end of a body the connection is closed. No crowd was played against an entry's process.

--- a/internal/gateway/evictor/evictor.go
+++ b/internal/gateway/evictor/evictor.go
@@ -28,7 +28,9 @@
 	// accounts is nil without bounds.
 	accounts *accountant.Accountant
 	refusal  http.HandlerFunc
-	causes   counters
+	// noLimit is the header timeout if there is no catalog yet or it sets no limit.
+	noLimit time.Duration
+	causes  counters
 }
 
 // Option configures an Evictor.
@@ -41,9 +43,12 @@
 // is 503. The connection is closed in any case.
 func WithRefusal(h http.HandlerFunc) Option { return func(e *Evictor) { e.refusal = h } }
 
+// WithHeaderTimeout sets the header timeout that is used if the catalog sets none, 5 s by default.
+func WithHeaderTimeout(d time.Duration) Option { return func(e *Evictor) { e.noLimit = d } }
+
 // New returns an Evictor that uses the limits of the catalog.
 func New(catalog *holder.Holder, opts ...Option) *Evictor {
-	e := &Evictor{catalog: catalog, refusal: func(w http.ResponseWriter, _ *http.Request) {
+	e := &Evictor{catalog: catalog, noLimit: defaultHeaderTimeout, refusal: func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "too many requests", http.StatusServiceUnavailable)
 	}}
 	for _, f := range opts {
@@ -128,7 +133,7 @@
 	if c := e.catalog.Get(); c != nil && c.Limits.HeaderTimeout > 0 {
 		return c.Limits.HeaderTimeout
 	}
-	return defaultHeaderTimeout
+	return e.noLimit
 }
 
 func (e *Evictor) idleTimeout() time.Duration {
--- a/internal/gateway/forwarder/body.go
+++ b/internal/gateway/forwarder/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -10,9 +9,9 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/process/accountant"
+	"siskinfall/internal/process/receiver"
 )
 
-// Load pattern: crowds whose bodies are large, or slow, or stop before their end.
 const (
 	// maxBodyPause bounds the pause between two parts of a body.
 	maxBodyPause = 10 * time.Second
@@ -24,12 +23,8 @@
 	refusedBodyTime = time.Second
 	// noRoomRetryAfter is sent while callers hold the memory of the instance.
 	noRoomRetryAfter = time.Second
-	// firstBodyBuffer is the size of the buffer for a body of unknown length, in bytes.
-	firstBodyBuffer = 512
 )
 
-var errNoRoom = errors.New("no room for the request")
-
 // Refuse answers a request for which there is no room.
 func (f *Forwarder) Refuse(w http.ResponseWriter, r *http.Request) {
 	x := f.newExchange(w, r)
@@ -39,7 +34,8 @@
 
 // readBody reads the whole request body, so that the request can be retried. It answers
 // and reports false if the body is too large or too slow, or if there is no room for it, and
-// only reports false if it breaks off.
+// only reports false if it breaks off. After an error the read deadline stays as it is, since
+// net/http reads on for a while.
 func (x *exchange) readBody() bool {
 	if x.r.ContentLength == 0 {
 		x.hasBody = true
@@ -49,9 +45,16 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := x.receiveBody(limit)
-	if !x.memory.Resume(time.Now()) {
-		err = errNoRoom
+	rc := http.NewResponseController(x.w.ResponseWriter)
+	src := receiver.Body{
+		Reader: http.MaxBytesReader(x.w.ResponseWriter, x.r.Body, limit), Length: x.r.ContentLength, Limit: limit, Account: x.memory,
+		SetDeadline: func(received int, now time.Time) error {
+			return ignoreNotSupported(rc.SetReadDeadline(x.getBodyDeadline(received, now)))
+		},
+	}
+	body, err := src.ReadAll()
+	if err == nil {
+		err = ignoreNotSupported(rc.SetReadDeadline(time.Time{}))
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -60,7 +63,7 @@
 		return true
 	case errors.As(err, &tooLarge):
 		x.fail(http.StatusRequestEntityTooLarge, "body too large", 0)
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, receiver.ErrNoRoom):
 		x.fail(http.StatusServiceUnavailable, "no room for the request body", noRoomRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.fail(http.StatusRequestTimeout, "request body too slow", 0)
@@ -70,57 +73,12 @@
 	return false
 }
 
-// receiveBody reads the body as it arrives, and charges the account before it takes memory for
-// more. After an error the read deadline stays as it is, since net/http reads on for a while.
-func (x *exchange) receiveBody(limit int64) ([]byte, error) {
-	if x.r.ContentLength > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	rc := http.NewResponseController(x.w.ResponseWriter)
-	src := http.MaxBytesReader(x.w.ResponseWriter, x.r.Body, limit)
-	var body []byte
-	for {
-		now := time.Now()
-		x.memory.Enter(accountant.Unfinished, now)
-		if len(body) == cap(body) {
-			size := x.nextBodySize(cap(body), limit)
-			if more := int64(size - max(cap(body), accountant.FreeBodyBytes)); more > 0 && !x.memory.Reserve(accountant.Body, more, now) {
-				return nil, errNoRoom
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		if err := rc.SetReadDeadline(x.getBodyDeadline(len(body), now)); err != nil && !errors.Is(err, http.ErrNotSupported) {
-			return nil, err
-		}
-		if x.memory.IsEvicted() {
-			return nil, errNoRoom
-		}
-		n, err := src.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			err = rc.SetReadDeadline(time.Time{})
-			if errors.Is(err, http.ErrNotSupported) {
-				err = nil
-			}
-			return body, err
-		}
-		if err != nil {
-			return nil, err
-		}
+// ignoreNotSupported returns nil for a connection without deadlines.
+func ignoreNotSupported(err error) error {
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
 	}
-}
-
-// nextBodySize returns the size of the next buffer for the body, at most that of the body if
-// it is known.
-func (x *exchange) nextBodySize(size int, limit int64) int {
-	last := int(limit) + 1
-	if n := int(x.r.ContentLength); n > size {
-		last = n
-		if n <= accountant.FreeBodyBytes {
-			return n
-		}
-	}
-	return min(max(2*size, firstBodyBuffer), last)
+	return err
 }
 
 // getBodyDeadline returns when the next part of the body is due.
@@ -148,8 +106,8 @@
 		// Its read deadline has passed.
 		return
 	}
-	err := http.NewResponseController(x.w.ResponseWriter).SetReadDeadline(time.Now().Add(refusedBodyTime))
-	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+	rc := http.NewResponseController(x.w.ResponseWriter)
+	if err := ignoreNotSupported(rc.SetReadDeadline(time.Now().Add(refusedBodyTime))); err != nil {
 		log.Info("setting the deadline for a refused body failed", "event", "abort", "request", x.ID, "error", err)
 	}
 }
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -23,8 +23,11 @@
 	"github.com/charmbracelet/log"
 
 	agent "siskinfall/internal/agent/server"
+	"siskinfall/internal/catalog/holder"
 	entry "siskinfall/internal/entry/server"
 	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/gateway/evictor"
+	"siskinfall/internal/process/accountant"
 	"siskinfall/internal/process/tuner"
 	"siskinfall/internal/routing/tracker"
 	"siskinfall/internal/settings/loader"
@@ -181,8 +184,8 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	for i, srv := range servers {
-		wg.Go(func() { serveHTTP(srv, ls.list[i+1]) })
+	for _, s := range servers {
+		wg.Go(func() { serveHTTP(s.Server, s.Listener) })
 	}
 	wg.Go(func() { _ = connector.NewAcceptor(p.hello, p.handle).Serve(ctx, peers) })
 	wg.Go(func() { p.run(ctx) })
@@ -191,31 +194,40 @@
 	<-stop.Graceful.Done()
 	log.Info("stopping", "role", p.hello.GetRole())
 	drained := drain(stop, p.drainTimeout, p.drain)
-	for _, srv := range servers {
-		shutdown(stop, srv)
+	for _, s := range servers {
+		shutdown(stop, s.Server)
 	}
 	cancel()
 	wg.Wait()
 	return drainResult(drained)
 }
 
-// newServers binds the HTTP listeners and returns their servers in the same order.
-// ls already holds the listener for peers.
-func newServers(ls *listeners, cfg *loader.Settings, p *process) ([]*http.Server, error) {
-	var servers []*http.Server
-	for _, l := range []struct {
-		addr    netip.AddrPort
-		handler http.Handler
-	}{{cfg.Listen.Callers, p.callers}, {cfg.Listen.Admin, p.admin}} {
-		if l.handler == nil {
-			continue
-		}
-		if _, err := ls.bind(l.addr); err != nil {
+// boundServer is a server with its listener.
+type boundServer struct {
+	*http.Server
+	net.Listener
+}
+
+// newServers binds the HTTP listeners of a process. The connections of callers have the bounds
+// of the settings.
+func newServers(ls *listeners, cfg *loader.Settings, p *process) ([]boundServer, error) {
+	var servers []boundServer
+	if p.callers != nil {
+		ln, err := ls.bind(cfg.Listen.Callers)
+		if err != nil {
 			return nil, err
 		}
-		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: resetter.WithConn})
+		s := &http.Server{Handler: p.callers, ReadHeaderTimeout: readHeaderTimeout, ConnContext: resetter.WithConn, MaxHeaderBytes: maxHeaderBytes}
+		accounts := accountant.New(newCallerBounds(cfg.Entry.Memory, cfg.Entry.Descriptors))
+		guard := evictor.New(holder.New(), evictor.WithAccounts(accounts), evictor.WithHeaderTimeout(readHeaderTimeout))
+		servers = append(servers, boundServer{s, guard.Watch(s, ln)})
+	}
+	ln, err := ls.bind(cfg.Listen.Admin)
+	if err != nil {
+		return nil, err
 	}
-	return servers, nil
+	s := &http.Server{Handler: p.admin, ReadHeaderTimeout: readHeaderTimeout, ConnContext: resetter.WithConn}
+	return append(servers, boundServer{s, ln}), nil
 }
 
 // drain waits for work in flight by calling f, until timeout or stop.Forced.
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -58,6 +58,8 @@
 	MaxBody       int              `yaml:"max_body_bytes" validate:"min=1024,max=4194304" comment:"largest request body"`
 	BodyPause     time.Duration    `yaml:"body_pause" validate:"min=50ms,max=10m" comment:"longest pause between two parts of a request body"`
 	BodyTimeout   time.Duration    `yaml:"body_timeout" validate:"min=50ms,max=1h" comment:"longest time for a whole request body"`
+	Memory        int              `yaml:"memory_megabytes" validate:"min=32,max=65536" comment:"memory of which callers may hold parts"`
+	Descriptors   int              `yaml:"max_descriptors" validate:"min=64,max=1048576" comment:"files and connections that the process may have open"`
 	ExplainRecent int              `yaml:"explain_recent" validate:"min=16,max=100000" comment:"requests kept for explain"`
 }
 
@@ -143,6 +145,8 @@
 			MaxBody:       1 << 20,
 			BodyPause:     10 * time.Second,
 			BodyTimeout:   time.Minute,
+			Memory:        1024,
+			Descriptors:   16384,
 			ExplainRecent: 2000,
 		},
 		Agent: Agent{
