Placer: servers of scarce services are compared by their times, off by default

What callers saw: with 18 slots behind 14 to 40 gateways, a server five times as slow gets as much as the others, and callers of its zone miss the objective. Cause: each gateway has so few requests there that the server looks idle. Change: below gateway.scarce_slots slots a gateway, a server's score rises with the time that its requests take. At 0, the default, scores are as before. Not solved: collisions at high load.

--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -138,6 +138,7 @@
 	// the number it has finished since the last report.
 	deltaSinceReport int
 	load             Load
+	pace             pace
 }
 
 // estimate returns the estimated number of requests at the server.
@@ -168,6 +169,9 @@
 	// gatewayCount is the number of gateways that place requests at the same
 	// servers, including this one.
 	gatewayCount int
+	// scarceSlots is the number of slots for each gateway below which a plain service is
+	// scarce, 0 if none is.
+	scarceSlots float64
 }
 
 // New returns a Placer without servers.
@@ -336,6 +340,9 @@
 	s.inFlight--
 	s.deltaSinceReport--
 	s.record(outcome, now)
+	if outcome == Served {
+		s.pace.record(now.Sub(p.decided), now)
+	}
 	if outcome == Rejected && p.placer.engines[s.Service] == nil {
 		// Engines reject work while their group stands still, which says nothing of the rank.
 		s.recordRejection(p.Estimate, now)
--- a/internal/gateway/placer/score.go
+++ b/internal/gateway/placer/score.go
@@ -217,7 +217,7 @@
 	engine := p.engines[s.Service]
 	estimate := float64(s.estimate(now))
 	if engine == nil || engine.Pass <= 0 {
-		score := estimate/float64(s.Slots) + failureScore*s.failureRate(now)
+		score := estimate/float64(s.Slots) + failureScore*s.failureRate(now) + p.slowScore(s, now)
 		if s.Zone != w.Zone {
 			score += zoneScore
 		}
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -97,6 +97,7 @@
 	g.retryBudget = budgeter.New(budgeter.Bound{
 		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
 	}, time.Now())
+	g.placer.SetScarceSlots(cfg.Gateway.ScarceSlots)
 	g.catalog.OnChange(g.placer.SetCatalog)
 	g.servers.OnChange(g.placer.SetServers)
 	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone,
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -100,6 +100,7 @@
 	RepeatWindow  time.Duration `yaml:"repeat_window" validate:"min=1s,max=10m" comment:"window in which repeats are counted"`
 	// SecondAttempts is at most half of RepeatRatio in effect, so that retries are left.
 	SecondAttempts float64 `yaml:"second_attempts" validate:"min=0,max=1" comment:"second attempts beside slow ones for each request of a service; 0 for none"`
+	ScarceSlots    float64 `yaml:"scarce_slots" validate:"min=0,max=100" comment:"slots for each gateway below which servers of a plain service are compared by their times; 0 for none"`
 	// SeedPeers need not be reachable.
 	SeedPeers []netip.AddrPort `yaml:"seed_peers" comment:"gateways and sidecars to ask first"`
 	// AdvertisePeers has the port of listen.peers, which is the same on all gateways.
