--- a/cmd/siskinfall/main.go
+++ b/cmd/siskinfall/main.go
@@ -39,7 +39,6 @@
 	Explain   *explainCmd   `arg:"subcommand:explain" help:"show the decisions on a recent request or an expert map"`
 	Events    *eventsCmd    `arg:"subcommand:events" help:"show events of the fleet, such as ejections and configuration changes"`
 	Execution *executionCmd `arg:"subcommand:execution" help:"show or settle non-idempotent executions"`
-	Config    *configCmd    `arg:"subcommand:config" help:"check a configuration of the users' platform before it is sent"`
 	Settings  *settingsCmd  `arg:"subcommand:settings" help:"check a settings file or print the defaults"`
 	Version   *versionCmd   `arg:"subcommand:version" help:"print the version"`
 }
@@ -68,7 +67,7 @@
 
 func exitCode(err error) int {
 	switch {
-	case loader.IsInvalid(err), registrar.IsInvalidTicket(err), errors.Is(err, errFindings):
+	case loader.IsInvalid(err), registrar.IsInvalidTicket(err):
 		return exitInvalid
 	case caller.IsProblem(err):
 		return exitRefused
