--- a/internal/gateway/placer/scarce.go
+++ b/internal/gateway/placer/scarce.go
@@ -35,12 +35,10 @@
 	c.recordedAt = now
 }
 
-// SetScarceSlots sets the number of slots for each gateway below which a plain service is
+// WithScarceSlots sets the number of slots for each gateway below which a plain service is
 // scarce: its servers are compared by their times, too. 0 is for none.
-func (p *Placer) SetScarceSlots(perGateway float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.scarceSlots = perGateway
+func WithScarceSlots(perGateway float64) Option {
+	return func(p *Placer) { p.scarceSlots = perGateway }
 }
 
 // isScarce reports whether a service is a plain one with few slots for each gateway.
--- a/internal/gateway/placer/scarce_test.go
+++ b/internal/gateway/placer/scarce_test.go
@@ -57,14 +57,14 @@
 	deskAttempts = 3
 )
 
-func newDesk(seed uint64, gateways int) *desk {
+func newDesk(seed uint64, gateways int, opts ...Option) *desk {
 	d := &desk{rng: rand.New(rand.NewPCG(seed, 46)), running: make([]int, deskServers), slowness: slices.Repeat([]float64{1}, deskServers)}
 	all := make([]lister.Server, deskServers)
 	for i := range all {
 		all[i] = lister.Server{ID: fmt.Sprint(i), Service: "desk", Addr: addr(i), Zone: string(rune('a' + i)), Slots: deskSlots}
 	}
-	for range gateways {
-		p := New()
+	for i := range gateways {
+		p := New(append(opts, WithRandom(rand.NewPCG(seed, uint64(i))))...)
 		p.SetServers(all)
 		p.SetGateways(gateways)
 		d.placers = append(d.placers, p)
@@ -141,11 +141,8 @@
 
 // newScarceDesk returns a desk whose first server is slower than the others.
 func newScarceDesk(gateways int, slowness, slotsPerGateway float64) *desk {
-	d := newDesk(1, gateways)
+	d := newDesk(1, gateways, WithScarceSlots(slotsPerGateway))
 	d.slowness[0] = slowness
-	for _, p := range d.placers {
-		p.SetScarceSlots(slotsPerGateway)
-	}
 	return d
 }
 
@@ -180,7 +177,7 @@
 func TestRecoveredServerGetsRequestsAgain(t *testing.T) {
 	c := qt.New(t)
 	p := newPlainPlacer(2)
-	p.SetScarceSlots(20)
+	WithScarceSlots(20)(p)
 	serve := func(id string, took time.Duration, now time.Time) {
 		w := deskWork(now)
 		w.Exclude = []string{"s0", "s1"}
@@ -202,7 +199,7 @@
 	for _, scarce := range []float64{0, 2} {
 		c := qt.New(t)
 		p := newPlainPlacer(2)
-		p.SetScarceSlots(scarce)
+		WithScarceSlots(scarce)(p)
 		p.SetGateways(6)
 		for i, took := range []time.Duration{50 * time.Millisecond, time.Second} {
 			w := deskWork(start)
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -22,6 +22,7 @@
 	"siskinfall/internal/fleet/lister"
 	"siskinfall/internal/fleet/subscriber"
 	"siskinfall/internal/fleet/watcher"
+	"siskinfall/internal/fleet/withdrawer"
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/evictor"
 	"siskinfall/internal/gateway/forwarder"
@@ -74,6 +75,7 @@
 	cfg         *loader.Settings
 	catalog     *holder.Holder
 	servers     *lister.Lister
+	zones       *withdrawer.Zones
 	placer      *placer.Placer
 	pool        *dialer.Pool
 	retryBudget *budgeter.Budget
@@ -93,16 +95,26 @@
 // NewGateway returns a Gateway that reads the catalog and the servers from source
 // and uses codec for the platform's headers.
 func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
-	g := &Gateway{cfg: cfg, catalog: holder.New(), servers: lister.New(), placer: placer.New(), pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers())}
+	placerOpts := []placer.Option{placer.WithScarceSlots(cfg.Gateway.ScarceSlots)}
+	forwarderOpts := []forwarder.Option{
+		forwarder.WithSecondAttempts(min(cfg.Gateway.SecondAttempts, secondAttemptsShare*cfg.Gateway.RepeatRatio)),
+	}
+	if cfg.Gateway.Admission {
+		placerOpts = append(placerOpts, placer.WithReportLag(forwarder.GetReportLag()))
+		forwarderOpts = append(forwarderOpts, forwarder.WithAdmission())
+	}
+	g := &Gateway{
+		cfg: cfg, catalog: holder.New(), servers: lister.New(), zones: withdrawer.New(), placer: placer.New(placerOpts...),
+		pool: dialer.NewPool(), quarantine: quarantiner.New(rand.Uint64(), quarantiner.WithPeers()),
+	}
 	g.retryBudget = budgeter.New(budgeter.Bound{
 		Ratio: cfg.Gateway.RepeatRatio, Slack: cfg.Gateway.RepeatSlack, Window: cfg.Gateway.RepeatWindow,
 	}, time.Now())
-	g.placer.SetScarceSlots(cfg.Gateway.ScarceSlots)
 	g.catalog.OnChange(g.placer.SetCatalog)
 	g.servers.OnChange(g.placer.SetServers)
-	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone,
-		forwarder.WithSecondAttempts(min(cfg.Gateway.SecondAttempts, secondAttemptsShare*cfg.Gateway.RepeatRatio)))
-	g.watcher = watcher.New(source, g.catalog, g.servers, watcher.WithRole(g.watchesStore))
+	g.zones.OnChange(func(closed []string) { g.placer.SetClosedZones(closed, time.Now()) })
+	g.forwarder = forwarder.New(g.catalog, g.placer, g.retryBudget, g.pool, g.quarantine, codec, cfg.Zone, forwarderOpts...)
+	g.watcher = watcher.New(source, g.catalog, g.servers, watcher.WithRole(g.watchesStore), watcher.WithZones(g.zones))
 	g.hello = &encoder.Hello{
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
 	}
@@ -115,7 +127,7 @@
 		g.retryBudget.SetGateways(sharers)
 		g.placer.SetGateways(members)
 		g.watcher.SetGateways(members)
-	}, gossiper.WithStoreState(g.watcher.IsUpToDate))
+	}, gossiper.WithStoreState(g.watcher.IsUpToDate), gossiper.WithZones(g.zones))
 	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
 		return g.gossiper.IsAmongFirst(tellersPerSidecar, sidecar.String(), time.Now())
 	})
@@ -259,7 +271,7 @@
 
 // isReady reports whether the gateway can take new callers.
 func (g *Gateway) isReady() bool {
-	return !g.stopping.Load() && g.catalog.Get() != nil && g.servers.GetPosition() != (lister.Position{}) && g.quarantine.IsComplete()
+	return !g.stopping.Load() && g.catalog.Get() != nil && g.servers.GetPosition() != (lister.Position{}) && g.zones.IsKnown() && g.quarantine.IsComplete()
 }
 
 func (g *Gateway) adminHandler() http.Handler {
@@ -279,6 +291,7 @@
 	for ctx.Err() == nil {
 		sleeper.Sleep(ctx, cleanupInterval)
 		g.servers.Expire(time.Now())
+		g.zones.Expire(time.Now())
 		g.pool.Prune(func(k dialer.Key) bool { return g.placer.IsInUse(k.ID) }, time.Now())
 	}
 }
