Forwarder: admission counts second attempts

What callers saw: with admission, a second attempt took room that a waiting request had been granted. Cause: it was placed beside the request's one place. Change: it takes a place of its own, never waits for one, and none while others wait; the place is given on once one attempt is left. Evidence: TestSecondAttemptTakesPlaceInAdmission, with room for one and for two.

--- a/internal/gateway/forwarder/hedge.go
+++ b/internal/gateway/forwarder/hedge.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"siskinfall/internal/admission/admitter"
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/gateway/hedger"
 	"siskinfall/internal/gateway/placer"
@@ -43,6 +44,9 @@
 	// underway holds the attempts that have not landed.
 	underway []*flight
 	isLate   bool
+	// secondPlace is the place in admission that the second attempt has beside the request's
+	// own, nil if it needs none.
+	secondPlace *admitter.Ticket
 }
 
 // landing is the end of an attempt, or the beginning of its answer.
@@ -160,21 +164,58 @@
 	if !ok {
 		return nil, noSpareRoom
 	}
-	denial := r.hedger.Take(r.from)
-	if denial == hedger.Allowed && !r.budget.TakeRetry(r.service, now) {
-		denial = overBudget
-	}
+	denial := r.charge(now)
 	if denial != hedger.Allowed {
+		r.releaseSecondPlace()
 		second.Finish(placer.Cancelled, now)
 		return nil, denial
 	}
 	return second, hedger.Allowed
 }
 
+// charge charges the second attempt to admission, its own limit and the retry budget.
+func (r *race) charge(now time.Time) hedger.Denial {
+	if !r.takePlace(now) {
+		return noSpareRoom
+	}
+	denial := r.hedger.Take(r.from)
+	if denial == hedger.Allowed && !r.budget.TakeRetry(r.service, now) {
+		return overBudget
+	}
+	return denial
+}
+
+// takePlace takes a place in admission for the second attempt if one is free. It does not wait.
+func (r *race) takePlace(now time.Time) bool {
+	a := r.getGate(now)
+	if a == nil {
+		return true
+	}
+	if s := a.GetState(); s.Waiting > 0 || s.Running >= s.Limit {
+		return false
+	}
+	place := a.Ask(r.newAdmission(now), now)
+	if _, ok := a.GetDecision(place).(*admitter.Granted); !ok {
+		a.Leave(place, now)
+		return false
+	}
+	r.secondPlace = place
+	return true
+}
+
+// releaseSecondPlace gives the second place on. The attempt that is left has the request's own.
+func (r *race) releaseSecondPlace() {
+	if r.secondPlace != nil {
+		r.gates.get(r.service, time.Now()).Release(r.secondPlace, time.Now())
+		r.secondPlace = nil
+	}
+}
+
 // land handles the landing of an attempt. It returns nil while the request waits for the other
 // one.
 func (r *race) land(ctx context.Context, l landing) nextAction {
 	r.underway = slices.DeleteFunc(r.underway, func(f *flight) bool { return f == l.flight })
+	r.releaseSecondPlace()
 	isAnswer := r.isAnswer(l.outcome)
 	if l.flight == r.first && isAnswer {
 		r.record()
--- a/internal/gateway/forwarder/hedge_test.go
+++ b/internal/gateway/forwarder/hedge_test.go
@@ -19,6 +19,7 @@
 	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 
+	"siskinfall/internal/admission/admitter"
 	"siskinfall/internal/backend/dialer"
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fleet/lister"
@@ -123,7 +124,7 @@
 		s.status = http.StatusOK
 		all = append(all, lister.Server{ID: fmt.Sprint("s", i), Service: "desk", Zone: "a", Addr: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)), Slots: 6})
 	}
-	p := placer.New()
+	p := placer.New(placer.WithRandom(rand.NewPCG(48, uint64(len(servers)))))
 	p.SetServers(all)
 	pool := dialer.NewPool(dialer.WithConnect(func(ctx context.Context, key dialer.Key) (net.Conn, error) {
 		s := servers[key.Addr.Port()-1]
@@ -434,3 +435,42 @@
 		c.Assert(runs, qt.Equals, 1)
 	})
 }
+
+// TestSecondAttemptTakesPlaceInAdmission guards against second attempts that admission does not
+// count, and against places that are kept.
+func TestSecondAttemptTakesPlaceInAdmission(t *testing.T) {
+	for name, test := range map[string]struct{ free, runs int }{"room for both": {2, 2}, "room for one": {1, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newHedgeFixture(c, 0.1, &pipeServer{delay: always(testObjective)}, &pipeServer{delay: always(testObjective)})
+				WithAdmission()(f.Forwarder)
+				catalog := &holder.Catalog{Services: []holder.Service{{Name: "desk", Engine: &holder.Engine{
+					Slots: 6, TokensPerEvent: 5, Pass: 5 * time.Millisecond, PerRequest: time.Millisecond, PrefillRate: 60000, UsualPrompt: 800, UsualAnswer: 140,
+				}}}}
+				f.placer.SetCatalog(catalog)
+				for i := range f.servers {
+					f.placer.SetEngineLoad(netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)), time.Time{},
+						placer.Load{Group: fmt.Sprint("g", i), Pass: 30 * time.Millisecond, Slowness: 1, At: time.Now()})
+				}
+				f.earn()
+				room, gateways := f.placer.GetRoom("desk", time.Now())
+				gate := f.gates.get("desk", time.Now())
+				gate.SetRoom(room, gateways, time.Now())
+				taken := gate.GetState().Limit - test.free
+				for range taken {
+					gate.Ask(admitter.Request{Kind: "r", Objective: testObjective, Deadline: time.Now().Add(time.Minute)}, time.Now())
+				}
+				c.Assert(gate.GetState().Running, qt.Equals, taken)
+				done := make(chan struct{})
+				go func() { f.get(c.Context(), "a"); close(done) }()
+				time.Sleep(3 * testObjective / 4)
+				c.Assert(gate.GetState().Running, qt.Equals, taken+test.runs)
+				<-done
+				c.Assert(gate.GetState().Running, qt.Equals, taken)
+				runs, _ := f.counts()
+				c.Assert(runs, qt.Equals, test.runs)
+			})
+		})
+	}
+}
