Commander: an urgent change waits for one pass, not two

A change comes into force two passes after its ranks have prepared the map. The passes before it run under the old map, and where that has a skew of three they take three times as long. A change that lowers the skew by 1 or more is now made for the next pass, which is held while the ranks are armed; if that has begun meanwhile, or if orders were lost lately, it is made as before.

The random tests make half of their changes urgent.

--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -52,6 +52,9 @@
 	// per cent of a pass, while each change copies experts and sends orders to all ranks;
 	// only a change of demand brings more.
 	minSkewGain = 0.2
+	// urgentSkewGain is the decrease of skew from which on a pass under the old map takes
+	// longer, by a healthy pass, than it may be held.
+	urgentSkewGain = 1.0
 )
 
 // Balancer leads one group. Run must be called by one goroutine only.
@@ -316,15 +319,6 @@
 	return out
 }
 
-// bounds returns the bounds of the next plan.
-func (b *Balancer) bounds(engine *holder.Engine) shifter.Bounds {
-	slowness := make([]float64, 0, len(b.snapshot))
-	for _, s := range b.snapshot {
-		slowness = append(slowness, s.Slowness)
-	}
-	return shifter.Bounds{MaxExperts: engine.SlotsPerRank, MaxNewExperts: engine.MaxNewExperts, Slowness: slowness}
-}
-
 // isSkewed reports whether a plan might reduce the skew by minSkewGain. No plan lowers the
 // skew below 1, and planning for a large group is expensive.
 func (b *Balancer) isSkewed(engine *holder.Engine) bool {
@@ -372,6 +366,7 @@
 	version := b.commander.NewVersion(g, own.Rank, time.Now())
 	err := b.commander.Change(ctx, g, own, commander.Prepare{
 		Version: version, Placement: plan.Placement, BaseVersion: b.knownVersion, Base: b.placement,
+		Urgent: plan.Before-plan.After >= urgentSkewGain,
 	})
 	b.delay.setResult(err)
 	if err == nil {
@@ -389,16 +384,6 @@
 	}
 }
 
-// copyTime estimates how long the copies of a plan take: the sum, over the layer sets, of
-// the largest number of copies that one rank makes for the set, at the rate of a link. It
-// is 0 if that rate is not known.
-func (b *Balancer) copyTime(p shifter.Plan, engine *holder.Engine) time.Duration {
-	if engine.LinkRate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(p.MaxRankCopies) * float64(engine.ExpertBytes) / engine.LinkRate * float64(time.Second))
-}
-
 // observe adds the counts of ranks to the demand. It reports whether there were new counts
 // and a demand to plan for.
 func (b *Balancer) observe(statuses []*commander.Status) bool {
--- a/internal/group/commander/change.go
+++ b/internal/group/commander/change.go
@@ -21,7 +21,7 @@
 func (c *Commander) Change(ctx context.Context, g Group, own *Status, order Prepare) error {
 	start := time.Now()
 	c.Observe(own)
-	if _, ok := c.passes.next(own.Epoch, own.Step, c.passesAhead); !ok {
+	if _, ok := c.passes.next(own.Epoch, own.Step, c.ahead(order.Urgent)); !ok {
 		return wrapper.At("hold", own.Addr.String(), errNoFreePass)
 	}
 	if err := c.prepare(ctx, g, order); err != nil {
@@ -33,7 +33,7 @@
 	} else {
 		c.passesAhead = max(c.passesAhead-1, minPassesAhead)
 	}
-	held, err := c.hold(ctx, g, own, order.Version)
+	held, err := c.hold(ctx, g, own, order)
 	if err != nil {
 		return err
 	}
@@ -180,9 +180,18 @@
 	wg.Wait()
 }
 
+// ahead returns how many passes ahead a change comes into force.
+func (c *Commander) ahead(urgent bool) uint64 {
+	if urgent && c.passesAhead == minPassesAhead {
+		return urgentPassesAhead
+	}
+	return c.passesAhead
+}
+
 // hold keeps the leader's own rank, and with it the group, from beginning a pass a few
 // passes ahead: the pass at which the version comes into force. It returns that hold.
-func (c *Commander) hold(ctx context.Context, g Group, own *Status, version uint64) (holder, error) {
+func (c *Commander) hold(ctx context.Context, g Group, own *Status, order Prepare) (holder, error) {
+	urgent := order.Urgent
 	for range maxHoldAttempts {
 		s, err := c.read(ctx, own.Addr, Query{LeaderRank: own.Rank})
 		if err != nil {
@@ -191,11 +200,11 @@
 		if s.Epoch != g.Epoch() || s.Broken {
 			return holder{}, wrapper.At("hold", own.Addr.String(), errOtherEpoch)
 		}
-		if s.Held != nil || s.latestVersion() > version {
+		if s.Held != nil || s.latestVersion() > order.Version {
 			return holder{}, wrapper.At("hold", own.Addr.String(), ErrConflict)
 		}
 		c.Observe(s)
-		pass, ok := c.passes.next(s.Epoch, s.Step, c.passesAhead)
+		pass, ok := c.passes.next(s.Epoch, s.Step, c.ahead(urgent))
 		if !ok {
 			return holder{}, wrapper.At("hold", own.Addr.String(), errNoFreePass)
 		}
@@ -209,6 +218,10 @@
 		if !errors.Is(err, ErrConflict) {
 			return holder{}, err
 		}
+		if urgent {
+			urgent = false
+			continue
+		}
 		c.passesAhead = min(c.passesAhead+1, maxPassesAhead)
 	}
 	return holder{}, wrapper.At("hold", own.Addr.String(), errHoldTooLate)
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -106,6 +106,9 @@
 	// not known. It only makes the message smaller.
 	BaseVersion uint64
 	Base        shifter.Placement
+	// Urgent is true if one more pass under the old map costs more than a pass that is held
+	// while the ranks are armed.
+	Urgent bool
 }
 
 // Arm brings a prepared map into force at a pass.
@@ -204,6 +207,8 @@
 	// minPassesAhead is how many passes ahead a change comes into force at least. It
 	// covers the orders of a change, some 10 ms, with one pass to spare.
 	minPassesAhead = 2
+	// urgentPassesAhead is used instead for an urgent change while no order is lost.
+	urgentPassesAhead = 1
 	// lossPassesAhead is used after an order was lost: four passes cover several
 	// attempts, so that the group need not wait for the last rank.
 	lossPassesAhead = 5
--- a/internal/group/commander/commander_test.go
+++ b/internal/group/commander/commander_test.go
@@ -82,7 +82,8 @@
 		if group.Armed() != nil || !hasDemand {
 			continue
 		}
-		_ = c.Change(ctx, group, group[rank], Prepare{Version: c.NewVersion(group, rank, time.Now().AddDate(27, 0, 0)), Placement: randomPlacement(rng)})
+		version := c.NewVersion(group, rank, time.Now().AddDate(27, 0, 0))
+		_ = c.Change(ctx, group, group[rank], Prepare{Version: version, Placement: randomPlacement(rng), Urgent: version&1 == 1})
 	}
 }
 
--- a/internal/group/commander/fake_test.go
+++ b/internal/group/commander/fake_test.go
@@ -55,7 +55,9 @@
 	idle   bool
 	// broken is true while the group can't run passes. Its engines still carry out orders.
 	broken bool
-	ranks  []*fakeRank
+	// stepsRestart is true if each epoch counts its passes from 0.
+	stepsRestart bool
+	ranks        []*fakeRank
 	// history holds the states from which stale reads are answered.
 	history   [][]Status
 	violation string
@@ -160,6 +162,9 @@
 	defer g.mu.Unlock()
 	g.epoch++
 	g.broken = false
+	if g.stepsRestart {
+		g.step = 0
+	}
 	for r, old := range g.ranks {
 		g.ranks[r] = &fakeRank{experts: rankExperts(randomPlacement(rand.New(rand.NewPCG(1, 1))), r), sequence: old.sequence, highestVersion: old.highestVersion}
 	}
