Balancer: a broken group's leader looks for ranks that were replaced

It read the sidecars of the ranks that it knew from its last full reading. If one of them has been replaced, it now reads those of the whole service, so that the new one hears who leads.

--- a/internal/group/balancer/opening.go
+++ b/internal/group/balancer/opening.go
@@ -169,14 +169,19 @@
 }
 
 // otherEngines returns the engines of the other ranks of the group, those of the whole
-// service if they are not known.
+// service if they are not known or one of them has been replaced.
 func (b *Balancer) otherEngines() []netip.AddrPort {
-	var out []netip.AddrPort
+	all := b.engines()
+	out := make([]netip.AddrPort, 0, len(all))
 	for _, s := range b.snapshot {
+		if !slices.Contains(all, s.Addr) {
+			out = nil
+			break
+		}
 		out = append(out, s.Addr)
 	}
-	if out == nil {
-		out = slices.Clone(b.engines())
+	if len(out) == 0 {
+		out = slices.Clone(all)
 	}
 	return slices.DeleteFunc(out, func(a netip.AddrPort) bool { return a == b.own })
 }
