--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -77,9 +77,14 @@
 	Reported time.Time
 	// ServerCount is the number of servers of the service that may receive work.
 	ServerCount int
-	decided     time.Time
-	server      *server
-	placer      *Placer
+	// Cold is set if the server is cold.
+	Cold    bool
+	decided time.Time
+	server  *server
+	placer  *Placer
+	// reserved holds the server's state while this request is placed and not yet sent, nil if
+	// its service has no cold terms.
+	reserved *coldness
 }
 
 // ReportAge returns the age of the load report at the time of the decision, or
@@ -143,6 +148,7 @@
 	// the number it has finished since the last report.
 	deltaSinceReport int
 	load             Load
+	pace             pace
 	// placedAt holds when the latest requests were placed, in order; only those that a
 	// report may lack, and none without a report lag.
 	placedAt []time.Time
@@ -173,12 +179,23 @@
 	// closures holds the servers that have said that they leave or want a pause. It outlasts
 	// their entries in the list.
 	closures map[incarnation]*closure
+	// coldTerms holds the services whose cold servers bear a limited rate, cold the state of
+	// their servers. It outlasts their entries in the list.
+	coldTerms map[string]coldTerms
+	cold      map[incarnation]*coldness
+	// shareOf returns how many of the units of a server this gateway may use.
+	shareOf func(units int, server string) int
 	// closedZones are the availability zones out of use.
 	closedZones []string
+	// zoneWork counts the requests in flight of this gateway in each of them.
+	zoneWork map[string]int
 	// gatewayCount is the number of gateways that place requests at the same
 	// servers, including this one.
 	gatewayCount int
-	random       *rand.Rand
+	// scarceSlots is the number of slots for each gateway below which a plain service is
+	// scarce, 0 if none is.
+	scarceSlots float64
+	random      *rand.Rand
 	// gaps holds, by service, the shortest limit of the pauses in its streams.
 	gaps map[string]time.Duration
 	// reportLag is how much older an engine's report is than its arrival, 0 if that is
@@ -200,13 +217,20 @@
 	return func(p *Placer) { p.reportLag = d }
 }
 
+// WithShares sets a function that returns how many of the units of a server this gateway may
+// use, beside others that send to it.
+func WithShares(shareOf func(units int, server string) int) Option {
+	return func(p *Placer) { p.shareOf = shareOf }
+}
+
 // New returns a Placer without servers.
 func New(opts ...Option) *Placer {
 	p := &Placer{
 		servers: make(map[string]*server), byService: make(map[string][]*server), engines: make(map[string]*holder.Engine),
 		outages: make(map[string]*outage), groups: make(map[string]*group), callersByRoute: make(map[string]*callerStats),
 		stalledUntil: make(map[string]time.Time), closures: make(map[incarnation]*closure), gatewayCount: 1,
-		gaps: make(map[string]time.Duration),
+		gaps: make(map[string]time.Duration), coldTerms: make(map[string]coldTerms), cold: make(map[incarnation]*coldness),
+		shareOf: func(units int, _ string) int { return units },
 	}
 	WithRandom(rand.NewPCG(rand.Uint64(), rand.Uint64()))(p) //nolint:gosec // see WithRandom
 	for _, opt := range opts {
@@ -215,7 +239,7 @@
 	return p
 }
 
-// SetCatalog updates which services run on engines.
+// SetCatalog updates which services run on engines, and what their cold servers bear.
 func (p *Placer) SetCatalog(c *holder.Catalog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -226,13 +250,23 @@
 		}
 	}
 	p.setGaps(c)
+	clear(p.coldTerms)
+	for _, s := range c.Services {
+		if s.ColdRate > 0 {
+			p.coldTerms[s.Name] = coldTerms{start: s.ColdStart, rate: s.ColdRate}
+		}
+	}
+	p.trackCold(true, time.Now())
 }
 
 // SetServers replaces the list of backend servers. State of a server is kept
 // unless the server has restarted.
-func (p *Placer) SetServers(all []lister.Server) {
+func (p *Placer) SetServers(all []lister.Server) { p.setServers(all, time.Now()) }
+
+func (p *Placer) setServers(all []lister.Server, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	isFirst := len(p.servers) == 0
 	present := make(map[string]bool, len(all))
 	for _, s := range all {
 		present[s.ID] = true
@@ -242,6 +276,9 @@
 			continue
 		}
 		p.servers[s.ID] = &server{Server: s}
+		if old != nil {
+			p.restartCold(old, p.servers[s.ID], now)
+		}
 	}
 	for id := range p.servers {
 		if !present[id] {
@@ -257,6 +294,7 @@
 	for _, list := range p.byService {
 		slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	p.trackCold(isFirst, now)
 }
 
 // SetLoad updates the load of a plain server. Engines are ignored.
@@ -283,6 +321,9 @@
 		}
 		if s.Started.Equal(started) {
 			s.load, s.deltaSinceReport = load, s.countUnseen(load.At.Add(-p.reportLag))
+		} else if started.After(s.Started) {
+			// What is sent to the listed incarnation reaches the new one.
+			p.setColdFromStart(s, load.At)
 		}
 		p.getGroup(load.Group).record(s.Service, addr, load)
 	}
@@ -366,6 +407,7 @@
 		best.placedAt = append(best.placedAt, now)
 	}
 	p.recordPlaced(best)
+	p.reserve(placed, now)
 	best.deltaSinceReport++
 	countPlaced(w.Service)
 	return placed
@@ -376,9 +418,14 @@
 	p.placer.mu.Lock()
 	defer p.placer.mu.Unlock()
 	s := p.server
+	p.release()
 	s.inFlight--
 	s.deltaSinceReport--
+	p.placer.recordZoneWork(s)
 	s.record(outcome, now)
+	if outcome == Served {
+		s.pace.record(now.Sub(p.decided), now)
+	}
 	if outcome == Rejected && p.placer.engines[s.Service] == nil {
 		// Engines reject work while their group stands still, which says nothing of the rank.
 		s.recordRejection(p.Estimate, now)
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -23,11 +23,13 @@
 	"siskinfall/internal/fleet/subscriber"
 	"siskinfall/internal/fleet/watcher"
 	"siskinfall/internal/fleet/withdrawer"
+	"siskinfall/internal/gateway/apportioner"
 	"siskinfall/internal/gateway/budgeter"
 	"siskinfall/internal/gateway/evictor"
 	"siskinfall/internal/gateway/forwarder"
 	"siskinfall/internal/gateway/placer"
 	"siskinfall/internal/gateway/quarantiner"
+	"siskinfall/internal/process/accountant"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/process/tuner"
 	"siskinfall/internal/report/logger"
@@ -95,7 +97,12 @@
 // NewGateway returns a Gateway that reads the catalog and the servers from source
 // and uses codec for the platform's headers.
 func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
-	var placerOpts []placer.Option
+	peersAddr := cfg.Listen.Peers
+	if cfg.Gateway.AdvertisePeers.IsValid() {
+		peersAddr = cfg.Gateway.AdvertisePeers
+	}
+	shares := apportioner.New(peersAddr, time.Now())
+	placerOpts := []placer.Option{placer.WithShares(shares.GetShare), placer.WithScarceSlots(cfg.Gateway.ScarceSlots)}
 	forwarderOpts := []forwarder.Option{
 		forwarder.WithSecondAttempts(min(cfg.Gateway.SecondAttempts, secondAttemptsShare*cfg.Gateway.RepeatRatio)),
 	}
@@ -119,15 +126,13 @@
 		Version: encoder.Version, Instance: cfg.Instance, Zone: cfg.Zone, Role: RoleGateway, Incarnation: newIncarnation(),
 	}
 	g.peers = connector.NewPool(g.hello)
-	peersAddr := cfg.Listen.Peers
-	if cfg.Gateway.AdvertisePeers.IsValid() {
-		peersAddr = cfg.Gateway.AdvertisePeers
-	}
 	g.gossiper = gossiper.New(peersAddr, cfg.Gateway.SeedPeers, g.peers, g.catalog, g.servers, g.quarantine, func(members, sharers int) {
 		g.retryBudget.SetGateways(sharers)
 		g.placer.SetGateways(members)
 		g.watcher.SetGateways(members)
-	}, gossiper.WithStoreState(g.watcher.IsUpToDate), gossiper.WithZones(g.zones))
+	}, gossiper.WithStoreState(g.watcher.IsUpToDate), gossiper.WithZones(g.zones), gossiper.WithSharers(func(others []netip.AddrPort, isHeard bool) {
+		shares.SetGateways(others, isHeard, time.Now())
+	}))
 	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
 		return g.gossiper.IsAmongFirst(tellersPerSidecar, sidecar.String(), time.Now())
 	})
@@ -189,14 +194,18 @@
 		// OPTIONS * has no route; net/http would answer it with a success.
 		DisableGeneralOptionsHandler: true,
 	}
-	callers = evictor.New(g.catalog).Watch(callerServer, callers)
-	adminServer := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
+	accounts := accountant.New(newCallerBounds(g.cfg.Gateway.Memory, g.cfg.Gateway.Descriptors))
+	callers = evictor.New(g.catalog, evictor.WithAccounts(accounts), evictor.WithRefusal(g.forwarder.Refuse)).Watch(callerServer, callers)
+	adminServer, admin := newAdminServer(g.adminHandler(), admin, g.cfg.Gateway.Memory, g.cfg.Gateway.Descriptors)
+	exportHeld(accounts)
 	var wg sync.WaitGroup
 	if err := ls.serveMetrics(ctx, &wg, g.cfg.Listen.Metrics); err != nil {
 		return err
 	}
 	runAll(ctx, &wg, g.watcher.RunCatalog, g.watcher.RunServers, tuner.Run, g.cleanUp, logReloads(RoleGateway), g.subscriber.Run, g.gossiper.Run)
-	wg.Go(func() { _ = connector.NewAcceptor(g.hello, g.handle).Serve(ctx, peers) })
+	wg.Go(func() {
+		_ = connector.NewAcceptor(g.hello, g.handle, newSessionBounds(g.cfg.Gateway.Descriptors)).Serve(ctx, peers)
+	})
 	wg.Go(func() { serveHTTP(callerServer, callers) })
 	wg.Go(func() { serveHTTP(adminServer, admin) })
 	log.Info("started", "event", "start", "role", "gateway", "callers", callers.Addr(), "admin", admin.Addr())
