Logger: bound the queue by its bytes

What was seen, by reading: the queue holds 4,096 lines of any length, and a line has the request ID, which a caller may make as long as a head of 16 KiB: 64 MB where nobody reads standard output. Change: 4 MiB in all, three times what a full queue of usual lines has. Evidence: TestLongLinesAreDroppedByTheirBytes, red with a bound out of reach (no line dropped), green with this one.

--- a/internal/report/logger/logger.go
+++ b/internal/report/logger/logger.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,9 @@
 // megabyte.
 const maxQueuedLines = 4096
 
+// maxQueuedBytes bounds them together: a caller's request ID may be as long as a head.
+const maxQueuedBytes = 4 << 20
+
 // Fractions of the queue up to which lines are accepted.
 const (
 	// ordinaryFill applies to answered requests, attempts, placements and orders. It
@@ -35,8 +39,11 @@
 // Writer is an io.Writer for a logger. It is safe for concurrent use.
 type Writer struct {
 	lines chan []byte
-	out   io.Writer
-	mu    sync.Mutex
+	// queued is the sum of the lines that wait, in bytes. It exceeds maxQueuedBytes at most by
+	// one line of each concurrent call of Write.
+	queued atomic.Int64
+	out    io.Writer
+	mu     sync.Mutex
 	// dropped counts the lines dropped since the last summary line, by event.
 	dropped map[string]int
 }
@@ -64,13 +71,15 @@
 // Write implements io.Writer. It queues a copy of the line or drops it, and never
 // fails.
 func (w *Writer) Write(p []byte) (int, error) {
-	if float64(len(w.lines)) >= float64(cap(w.lines))*maxFill(p) {
+	if float64(len(w.lines)) >= float64(cap(w.lines))*maxFill(p) || w.queued.Load()+int64(len(p)) > maxQueuedBytes {
 		w.drop(p)
 		return len(p), nil
 	}
+	w.queued.Add(int64(len(p)))
 	select {
 	case w.lines <- bytes.Clone(p):
 	default:
+		w.queued.Add(-int64(len(p)))
 		w.drop(p)
 	}
 	return len(p), nil
@@ -134,6 +143,7 @@
 
 func (w *Writer) run() {
 	for line := range w.lines {
+		w.queued.Add(-int64(len(line)))
 		if counts, n := w.takeDropped(); n > 0 {
 			_, _ = fmt.Fprintf(w.out, `{"time":%q,"level":"warn","msg":"log lines dropped","event":"log_dropped","lines":%d,"by_event":%q}`+"\n",
 				time.Now().Format(time.RFC3339Nano), n, counts)
--- a/internal/report/logger/logger_test.go
+++ b/internal/report/logger/logger_test.go
@@ -107,3 +107,21 @@
 	*w += countingWriter(len(p))
 	return len(p), nil
 }
+
+// TestLongLinesAreDroppedByTheirBytes guards against a queue that holds few lines and much
+// memory, since callers choose how long their request IDs are.
+func TestLongLinesAreDroppedByTheirBytes(t *testing.T) {
+	c := qt.New(t)
+	out := newBlockingWriter()
+	w := New(out)
+	line := `{"event":"ended","reason":"refused","request":"` + strings.Repeat("x", 16<<10) + `"}` + "\n"
+	for range maxQueuedLines / 2 {
+		_, err := w.Write([]byte(line))
+		c.Assert(err, qt.IsNil)
+	}
+	_, dropped := w.takeDropped()
+	// One line is being written.
+	const bound = 4 << 20
+	c.Assert(maxQueuedLines/2-dropped <= bound/len(line)+1, qt.IsTrue, qt.Commentf("%d", dropped))
+	close(out.unblock)
+}
