Balancer: a minor skew has to be seen twice

After a change of demand some groups took 0.9 to 1.2 s to follow, and made two changes: the first sample held little of the new demand and showed a skew of 1.3 or 1.5, a change was made for that, and it was in force when the next sample showed the rest, a skew above 2.4.

A skew below 1.5 now has to be seen in two samples. A change counts as urgent from a gain of 0.5 on, by which one more pass costs more than a held one.

--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -52,9 +52,9 @@
 	// per cent of a pass, while each change copies experts and sends orders to all ranks;
 	// only a change of demand brings more.
 	minSkewGain = 0.2
-	// urgentSkewGain is the decrease of skew from which on a pass under the old map takes
-	// longer, by a healthy pass, than it may be held.
-	urgentSkewGain = 1.0
+	// urgentSkewGain is the decrease of skew from which on one more pass under the old map
+	// costs more than a pass that is held for a change, some 20 ms. A lower skew is minor.
+	urgentSkewGain = 0.5
 )
 
 // Balancer leads one group. Run must be called by one goroutine only.
@@ -86,6 +86,9 @@
 	opening opening
 	// prediction is that of the latest change.
 	prediction prediction
+	// minorSkewAt is when the demand was observed that first showed a minor skew, zero if the
+	// skew is not minor.
+	minorSkewAt time.Time
 	// snapshot is the latest snapshot of all ranks, made at snapshotAt; lastStep is the latest
 	// pass seen in a sample.
 	snapshot   commander.Group
@@ -319,13 +322,13 @@
 	return out
 }
 
-// isSkewed reports whether a plan might reduce the skew by minSkewGain. No plan lowers the
-// skew below 1, and planning for a large group is expensive.
+// isSkewed reports whether a plan might reduce the skew by minSkewGain, and the skew lasts. No
+// plan lowers the skew below 1, and planning for a large group is expensive.
 func (b *Balancer) isSkewed(engine *holder.Engine) bool {
 	skew := shifter.Skew(b.placement, b.demand.Get(), b.bounds(engine))
 	b.delay.observe(skew, time.Now())
 	b.prediction.compare(skew, b.knownVersion, b.observedAt)
-	return skew >= 1+minSkewGain
+	return b.isLasting(skew)
 }
 
 // handleHeldPass waits for the leader that holds a pass, and ends the hold after
@@ -373,6 +376,7 @@
 		b.placement, b.knownVersion = plan.Placement, version
 		b.delay.setFollowed()
 		b.opening.isPending = false
+		b.minorSkewAt = time.Time{}
 		b.prediction = prediction{version: version, skew: plan.After, madeAt: time.Now()}
 	}
 	countChange(err, time.Since(start), planTime)
--- a/internal/group/balancer/plan.go
+++ b/internal/group/balancer/plan.go
@@ -25,3 +25,19 @@
 	}
 	return time.Duration(float64(p.MaxRankCopies) * float64(engine.ExpertBytes) / engine.LinkRate * float64(time.Second))
 }
+
+// isLasting reports whether a skew is worth a change. A minor skew has to be seen twice: it is
+// also what the first sample after a change of demand shows, which holds little of the new
+// demand. A plan for that sample would be in force when the next one shows the rest.
+func (b *Balancer) isLasting(skew float64) bool {
+	switch {
+	case skew < 1+minSkewGain:
+		b.minorSkewAt = time.Time{}
+		return false
+	case skew >= 1+urgentSkewGain || b.canPlanOpening():
+		return true
+	case b.minorSkewAt.IsZero():
+		b.minorSkewAt = b.observedAt
+	}
+	return b.observedAt.After(b.minorSkewAt)
+}
