Connector: a handshake does not outlast its caller by seconds

A paused peer accepts connections and does not answer. A call that dials it waited for the handshake, up to 3 s, whatever its own deadline was, and with it the round of a group's leader, which reads all sidecars at once: in a group that opens, for longer than its first change takes. The session was dropped then anyway, since the call had timed out. A handshake now has the time that its caller has, at least 0.5 s, as before at most 3 s.

--- a/internal/wire/connector/acceptor.go
+++ b/internal/wire/connector/acceptor.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = conn.Close() }()
-	peer, err := handshake(conn, a.own, false)
+	peer, err := handshake(conn, a.own, false, handshakeTimeout)
 	if err != nil {
 		log.Warn("handshake failed", "step", "handshake", "peer", conn.RemoteAddr(), "error", err)
 		return
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -22,9 +22,13 @@
 
 // Timeouts of a session.
 const (
-	handshakeTimeout  = 3 * time.Second
-	keepAliveInterval = 10 * time.Second
-	writeTimeout      = 5 * time.Second
+	handshakeTimeout = 3 * time.Second
+	// minHandshakeTimeout is that of a dialer whose caller waits for less: a peer that is
+	// paused accepts connections and does not answer, while one that is short of processor
+	// time needs some of it.
+	minHandshakeTimeout = 500 * time.Millisecond
+	keepAliveInterval   = 10 * time.Second
+	writeTimeout        = 5 * time.Second
 )
 
 // acceptBacklog is the number of streams that may wait to be accepted.
@@ -86,8 +90,8 @@
 
 // handshake exchanges Hello frames. The dialer sends first. It fails if the peer has
 // another protocol version.
-func handshake(conn net.Conn, own *encoder.Hello, isDialer bool) (*encoder.Hello, error) {
-	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+func handshake(conn net.Conn, own *encoder.Hello, isDialer bool, timeout time.Duration) (*encoder.Hello, error) {
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
 	}
 	peer := &encoder.Hello{}
@@ -109,6 +113,16 @@
 	return peer, conn.SetDeadline(time.Time{})
 }
 
+// dialerTimeout returns the timeout of a handshake for a caller: its own, at least
+// minHandshakeTimeout and at most handshakeTimeout.
+func dialerTimeout(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return handshakeTimeout
+	}
+	return min(max(time.Until(deadline), minHandshakeTimeout), handshakeTimeout)
+}
+
 // readHello reads byte by byte so that nothing after the frame is consumed.
 func readHello(conn net.Conn, m *encoder.Hello) error {
 	return encoder.NewReader(&oneByteReader{r: conn}).Read(m)
@@ -364,7 +378,7 @@
 	if err != nil {
 		return nil, err
 	}
-	hello, err := handshake(conn, p.own, true)
+	hello, err := handshake(conn, p.own, true, dialerTimeout(ctx))
 	if err != nil {
 		_ = conn.Close()
 		return nil, wrapper.At("handshake", addr.String(), err)
--- a/internal/wire/connector/wait_test.go
+++ b/internal/wire/connector/wait_test.go
@@ -36,3 +36,26 @@
 		c.Check(time.Since(start), qt.Equals, 60*time.Millisecond)
 	})
 }
+
+// TestCallDoesNotOutwaitItsDeadlineInHandshake guards against a leader that waits for seconds for
+// a paused peer, which accepts the connection and does not answer.
+func TestCallDoesNotOutwaitItsDeadlineInHandshake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := NewPool(&encoder.Hello{}, WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
+			conn, _ := net.Pipe()
+			return conn, nil
+		}))
+		addr := netip.MustParseAddrPort("127.0.0.1:1")
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
+		defer cancel()
+		_, err := p.Open(ctx, addr, &encoder.Open{})
+		c.Check(err, qt.IsNotNil)
+		c.Check(time.Since(start), qt.Equals, minHandshakeTimeout)
+		start = time.Now()
+		_, err = p.Open(t.Context(), addr, &encoder.Open{})
+		c.Check(err, qt.IsNotNil)
+		c.Check(time.Since(start), qt.Equals, handshakeTimeout)
+	})
+}
