--- a/internal/wire/connector/acceptor.go
+++ b/internal/wire/connector/acceptor.go
@@ -116,7 +116,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = conn.Close() }()
-	peer, err := handshake(conn, a.own, false)
+	peer, err := handshake(conn, a.own, false, handshakeTimeout)
 	if !a.endHandshake(conn, err == nil) {
 		log.Warn("handshake failed", "step", "handshake", "peer", conn.RemoteAddr(), "error", err)
 		return
