--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -148,6 +148,7 @@
 	// the number it has finished since the last report.
 	deltaSinceReport int
 	load             Load
+	pace             pace
 	// cold and coldTerms are nil and zero if the service has no cold terms.
 	cold      *coldness
 	coldTerms coldTerms
@@ -194,7 +195,10 @@
 	// gatewayCount is the number of gateways that place requests at the same
 	// servers, including this one.
 	gatewayCount int
-	random       *rand.Rand
+	// scarceSlots is the number of slots for each gateway below which a plain service is
+	// scarce, 0 if none is.
+	scarceSlots float64
+	random      *rand.Rand
 	// gaps holds, by service, the shortest limit of the pauses in its streams.
 	gaps map[string]time.Duration
 	// reportLag is how much older an engine's report is than its arrival, 0 if that is
@@ -422,6 +426,9 @@
 	s.deltaSinceReport--
 	p.placer.recordZoneWork(s)
 	s.record(outcome, now)
+	if outcome == Served {
+		s.pace.record(now.Sub(p.decided), now)
+	}
 	if outcome == Rejected && p.placer.engines[s.Service] == nil {
 		// Engines reject work while their group stands still, which says nothing of the rank.
 		s.recordRejection(p.Estimate, now)
--- a/internal/gateway/placer/spare.go
+++ b/internal/gateway/placer/spare.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -37,7 +36,7 @@
 		case best == nil || score < bestScore:
 			best, bestScore, ties = s, score, 1
 		case score == bestScore:
-			if ties++; rand.IntN(ties) == 0 {
+			if ties++; p.random.IntN(ties) == 0 {
 				best = s
 			}
 		}
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -58,6 +58,8 @@
 	MaxBody       int              `yaml:"max_body_bytes" validate:"min=1024,max=4194304" comment:"largest request body"`
 	BodyPause     time.Duration    `yaml:"body_pause" validate:"min=50ms,max=10m" comment:"longest pause between two parts of a request body"`
 	BodyTimeout   time.Duration    `yaml:"body_timeout" validate:"min=50ms,max=1h" comment:"longest time for a whole request body"`
+	Memory        int              `yaml:"memory_megabytes" validate:"min=32,max=65536" comment:"memory of which callers may hold parts"`
+	Descriptors   int              `yaml:"max_descriptors" validate:"min=64,max=1048576" comment:"files and connections that the process may have open"`
 	ExplainRecent int              `yaml:"explain_recent" validate:"min=16,max=100000" comment:"requests kept for explain"`
 }
 
@@ -92,6 +94,8 @@
 // Gateway configures a gateway, which hands requests to backend servers itself.
 type Gateway struct {
 	Memory int `yaml:"memory_megabytes" validate:"min=32,max=65536" comment:"memory that the process may use"`
+	// Descriptors bounds the connections of callers and those to backend servers together.
+	Descriptors int `yaml:"max_descriptors" validate:"min=64,max=1048576" comment:"files and connections that the process may have open"`
 	// RotationDelay plus the time of the longest request must stay below Grace.
 	RotationDelay time.Duration `yaml:"rotation_delay" validate:"min=0,max=1m" comment:"how long new connections still come after a shutdown has begun"`
 	Grace         time.Duration `yaml:"grace" validate:"min=1s,max=1h" comment:"time between the request to stop and the kill"`
@@ -100,6 +104,7 @@
 	RepeatWindow  time.Duration `yaml:"repeat_window" validate:"min=1s,max=10m" comment:"window in which repeats are counted"`
 	// SecondAttempts is at most half of RepeatRatio in effect, so that retries are left.
 	SecondAttempts float64 `yaml:"second_attempts" validate:"min=0,max=1" comment:"second attempts beside slow ones for each request of a service; 0 for none"`
+	ScarceSlots    float64 `yaml:"scarce_slots" validate:"min=0,max=100" comment:"slots for each gateway below which servers of a plain service are compared by their times; 0 for none"`
 	// SeedPeers need not be reachable.
 	SeedPeers []netip.AddrPort `yaml:"seed_peers" comment:"gateways and sidecars to ask first"`
 	// AdvertisePeers has the port of listen.peers, which is the same on all gateways.
@@ -145,6 +150,8 @@
 			MaxBody:       1 << 20,
 			BodyPause:     10 * time.Second,
 			BodyTimeout:   time.Minute,
+			Memory:        1024,
+			Descriptors:   16384,
 			ExplainRecent: 2000,
 		},
 		Agent: Agent{
@@ -158,6 +165,7 @@
 		},
 		Gateway: Gateway{
 			Memory:        256,
+			Descriptors:   4096,
 			RotationDelay: 2200 * time.Millisecond,
 			Grace:         30 * time.Second,
 			RepeatRatio:   0.2,
