Admitter: a returning caller is known by the usual timeout of its kind

Cause: a caller returned if its timeout was shorter than the longest one seen, and a few callers have far longer ones than the others. Change: the most frequent timeout of a kind is that of first requests. Evidence: a test with one patient caller in 25, which failed by the longest timeout.

--- a/internal/admission/admitter/admitter.go
+++ b/internal/admission/admitter/admitter.go
@@ -37,8 +37,9 @@
 	// Objective is the target time to the first event, 0 if there is none.
 	Objective time.Duration
 	Deadline  time.Time
-	// Returned is set if the caller was refused before and has waited as it was told.
-	Returned bool
+	// Timeout is the timeout that the caller sent, 0 for none. A caller that was refused
+	// and returns has less left than others.
+	Timeout time.Duration
 }
 
 // Decision is the decision on a request: *Granted or *Refused. It is nil while the request
@@ -83,6 +84,8 @@
 	isEntitled bool
 	// isAbove is set if the account uses more than its fair share.
 	isAbove bool
+	// isReturned is set if the caller was refused before and has waited as it was told.
+	isReturned bool
 	// number orders tickets by arrival.
 	number uint64
 	// decision is nil while the request waits, and changes once. It is written before done
@@ -95,6 +98,9 @@
 // Done returns a channel that is closed once there is a decision.
 func (t *Ticket) Done() <-chan struct{} { return t.done }
 
+// IsReturned reports whether the caller was refused before and has waited as it was told.
+func (t *Ticket) IsReturned() bool { return t.isReturned }
+
 // LatestStart returns the time after which the request no longer waits.
 func (t *Ticket) LatestStart() time.Time { return t.latestStart }
 
@@ -114,7 +120,9 @@
 	waitingBytes int
 	fairness     fairness
 	returns      returns
-	closed       bool
+	// timeouts holds the timeouts of callers by kind.
+	timeouts map[string]*timeouts
+	closed   bool
 	// minPriority is the lowest priority number, that is the most urgent one.
 	minPriority int
 	number      uint64
@@ -131,7 +139,7 @@
 
 // New returns an Admitter without places, so that one request runs at a time.
 func New(opts ...Option) *Admitter {
-	a := &Admitter{limit: 1, minPriority: math.MaxInt, fairness: newFairness()}
+	a := &Admitter{limit: 1, minPriority: math.MaxInt, fairness: newFairness(), timeouts: make(map[string]*timeouts)}
 	WithRandom(rand.NewPCG(rand.Uint64(), rand.Uint64()))(a) //nolint:gosec // see WithRandom
 	for _, opt := range opts {
 		opt(a)
@@ -174,6 +182,7 @@
 	defer a.mu.Unlock()
 	a.number++
 	t := &Ticket{Request: r, arrived: now, number: a.number, done: make(chan struct{})}
+	t.isReturned = a.getTimeouts(r.Kind).add(r.Timeout)
 	t.isEntitled, t.isAbove = a.fairness.ask(&r, now)
 	a.minPriority = min(a.minPriority, r.Priority)
 	t.latestStart = a.findLatestStart(&r, now)
@@ -190,6 +199,15 @@
 	return t
 }
 
+func (a *Admitter) getTimeouts(kind string) *timeouts {
+	t := a.timeouts[kind]
+	if t == nil {
+		t = &timeouts{counts: make(map[time.Duration]int)}
+		a.timeouts[kind] = t
+	}
+	return t
+}
+
 // findLatestStart returns when a request has to run to keep its objective and deadline.
 func (a *Admitter) findLatestStart(r *Request, now time.Time) time.Time {
 	wait := r.Deadline.Sub(now) - a.room.Residence
--- a/internal/admission/admitter/admitter_test.go
+++ b/internal/admission/admitter/admitter_test.go
@@ -17,7 +17,7 @@
 		Kind: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "kind"), Priority: rapid.IntRange(0, 3).Draw(t, "priority"),
 		Account: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "account"), Size: rapid.IntRange(0, 5000).Draw(t, "size"),
 		Bytes: rapid.IntRange(0, maxWaitingBytes/4).Draw(t, "bytes"), Objective: time.Duration(rapid.IntRange(0, 1000).Draw(t, "objective")) * time.Millisecond,
-		Deadline: now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(t, "timeout")) * time.Millisecond), Returned: rapid.Bool().Draw(t, "returned"),
+		Deadline: now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(t, "timeout")) * time.Millisecond), Timeout: time.Duration(rapid.IntRange(0, 8000).Draw(t, "left")) * time.Millisecond,
 	}
 }
 
@@ -275,3 +275,23 @@
 		c.Assert(isEntitled, qt.IsTrue, qt.Commentf("%s", name))
 	}
 }
+
+// TestPatientCallersMakeNobodyReturned guards against taking all first requests for returning
+// ones because some callers have longer timeouts than the others.
+func TestPatientCallersMakeNobodyReturned(t *testing.T) {
+	c := qt.New(t)
+	a := &timeouts{counts: make(map[time.Duration]int)}
+	for i := range 2000 {
+		timeout := 8 * time.Second
+		switch {
+		case i%25 == 24:
+			timeout = 20 * time.Second
+		case i%3 == 2:
+			timeout -= minRetryAfter + time.Duration(i%2000)*time.Millisecond
+		}
+		isReturned := a.add(timeout)
+		if i > 0 {
+			c.Assert(isReturned, qt.Equals, timeout < 8*time.Second, qt.Commentf("%v", timeout))
+		}
+	}
+}
--- a/internal/admission/admitter/order.go
+++ b/internal/admission/admitter/order.go
@@ -36,7 +36,7 @@
 		compareFirst(a.isEntitled, b.isEntitled),
 		cmp.Compare(a.Priority, b.Priority),
 		compareFirst(!a.isAbove, !b.isAbove),
-		compareFirst(a.Returned, b.Returned),
+		compareFirst(a.isReturned, b.isReturned),
 		a.latestStart.Compare(b.latestStart),
 		cmp.Compare(a.number, b.number),
 	)
--- a/internal/admission/admitter/returns.go
+++ b/internal/admission/admitter/returns.go
@@ -23,10 +23,46 @@
 	maxRetryAfterFraction = 1.0 / 3
 )
 
-// IsReturned reports whether a caller has waited for at least the shortest time that callers
-// are told, by what is left of the longest timeout on its route.
-func IsReturned(timeout, longest time.Duration) bool {
-	return timeout > 0 && longest-timeout >= minRetryAfter
+const (
+	// timeoutStep is the width of the classes in which timeouts are counted.
+	timeoutStep = 100 * time.Millisecond
+	// maxTimeouts is the number of timeouts after which older ones count half.
+	maxTimeouts = 400
+)
+
+// timeouts finds the timeout of the first requests of a kind: the most frequent one, since
+// those of returning callers differ, and some callers have more patience than the others.
+type timeouts struct {
+	counts map[time.Duration]int
+	n      int
+	usual  time.Duration
+}
+
+// add counts a timeout, 0 for none. It reports whether the caller has waited for at least the
+// shortest time that callers are told.
+func (t *timeouts) add(timeout time.Duration) (isReturned bool) {
+	if timeout <= 0 {
+		return false
+	}
+	class := timeout.Round(timeoutStep)
+	t.counts[class]++
+	if t.counts[class] >= t.counts[t.usual] {
+		t.usual = class
+	}
+	if t.n++; t.n >= maxTimeouts {
+		t.forget()
+	}
+	return t.usual-timeout >= minRetryAfter
+}
+
+func (t *timeouts) forget() {
+	t.n = 0
+	for class, n := range t.counts {
+		if t.counts[class] = n / 2; n < 2 { //nolint:mnd // halves
+			delete(t.counts, class)
+		}
+		t.n += n / 2 //nolint:mnd // as above
+	}
 }
 
 // returns counts, by interval, the callers that were told to return then.
--- a/internal/gateway/forwarder/gate.go
+++ b/internal/gateway/forwarder/gate.go
@@ -83,7 +83,7 @@
 	if a == nil {
 		return true
 	}
-	x.ticket = a.Ask(x.newAdmission(now), now)
+	x.ticket = a.Ask(x.newAdmission(), now)
 	switch v := x.awaitDecision(ctx, a).(type) {
 	case *admitter.Granted:
 		countAdmitted(x.service, x.route.Name, v.Waited)
@@ -122,11 +122,10 @@
 	return a.GetDecision(x.ticket)
 }
 
-func (x *exchange) newAdmission(now time.Time) admitter.Request {
+func (x *exchange) newAdmission() admitter.Request {
 	r := admitter.Request{
 		Kind: x.route.Name, Priority: x.getPriority(), Size: x.PromptTokens + answerTokenCost*x.MaxAnswerTokens, Bytes: len(x.body),
-		Objective: x.route.Objective, Deadline: x.deadline,
-		Returned: admitter.IsReturned(x.deadline.Sub(now), x.placer.GetLongestTimeout(x.route.Name)),
+		Objective: x.route.Objective, Deadline: x.deadline, Timeout: x.Timeout,
 	}
 	if x.account != nil {
 		r.Account = x.account.Name
@@ -148,9 +147,9 @@
 	}
 	switch v := x.gates.get(x.service, time.Now()).GetDecision(x.ticket).(type) {
 	case *admitter.Granted:
-		return []any{"admitted", true, "waited", v.Waited, "returned", x.ticket.Returned}
+		return []any{"admitted", true, "waited", v.Waited, "returned", x.ticket.IsReturned()}
 	case *admitter.Refused:
-		return []any{"admitted", false, "waited", v.Waited, "returned", x.ticket.Returned}
+		return []any{"admitted", false, "waited", v.Waited, "returned", x.ticket.IsReturned()}
 	}
 	return nil
 }
--- a/internal/gateway/placer/admission.go
+++ b/internal/gateway/placer/admission.go
@@ -60,16 +60,6 @@
 	return p.engines[service] != nil
 }
 
-// GetLongestTimeout returns the longest timeout that the callers of a route have sent.
-func (p *Placer) GetLongestTimeout(route string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c := p.callersByRoute[route]; c != nil {
-		return c.maxTimeout
-	}
-	return 0
-}
-
 // countUnseen returns how many requests were placed after a time, and forgets the others.
 func (s *server) countUnseen(since time.Time) int {
 	i := 0
--- a/internal/gateway/placer/replay_test.go
+++ b/internal/gateway/placer/replay_test.go
@@ -233,7 +233,7 @@
 	}
 	r.ticket = a.Ask(admitter.Request{
 		Kind: r.kind.name, Priority: r.kind.priority, Account: strconv.Itoa(r.account), Size: r.cost(), Bytes: r.prompt, Objective: r.kind.objective,
-		Deadline: r.deadline(), Returned: admitter.IsReturned(r.deadline().Sub(now), r.kind.timeout),
+		Deadline: r.deadline(), Timeout: r.deadline().Sub(now),
 	}, now)
 	f.asking[r.gateway] = append(f.asking[r.gateway], r)
 	f.decideWaiting(now)
