Gateway: close the connection of a request whose body gave way

Found by reading: its account is closed, so that the next request on the connection would be refused too; net/http kept it open for a short body.

--- a/internal/gateway/forwarder/body.go
+++ b/internal/gateway/forwarder/body.go
@@ -99,13 +99,14 @@
 	if x.hasBody || x.r.ContentLength == 0 {
 		return
 	}
-	if n := x.r.ContentLength; n < 0 || n > accountant.FreeBodyBytes || x.w.Header().Get("Connection") != "" {
-		x.w.Header().Set("Connection", "close")
-	}
 	if x.memory.IsEvicted() {
 		// Its read deadline has passed.
+		x.w.Header().Set("Connection", "close")
 		return
 	}
+	if n := x.r.ContentLength; n < 0 || n > accountant.FreeBodyBytes {
+		x.w.Header().Set("Connection", "close")
+	}
 	rc := http.NewResponseController(x.w.ResponseWriter)
 	if err := ignoreNotSupported(rc.SetReadDeadline(time.Now().Add(refusedBodyTime))); err != nil {
 		log.Info("setting the deadline for a refused body failed", "event", "abort", "request", x.ID, "error", err)
