--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return &notSent{err: err}
 	}
-	if reason := p.GetClosedReason(time.Now()); reason != "" {
+	if reason := p.BeginSend(time.Now()); reason != "" {
 		// Another answer has closed the server since the request was placed.
 		x.pool.Put(conn)
 		return &notSent{err: wrapper.At("check_server", p.ID, fmt.Errorf("%w: %s", errClosed, reason))}
@@ -242,7 +242,7 @@
 	if x.account != nil {
 		out.Account = x.account.Name
 	}
-	if x.ticket != nil {
+	if x.gates != nil && p.IsEngine() {
 		out.Priority = min(max(x.getPriority(), 0), maxEnginePriority)
 	}
 	x.codec.EncodeRequest(h, out)
@@ -311,6 +311,9 @@
 		// Another server has this address now.
 		return
 	}
+	if a.Cold > 0 {
+		x.placer.SetCold(p.Server, a.Cold, time.Now())
+	}
 	if a.Leaving {
 		x.placer.SetLeaving(p.Server, time.Now())
 	}
--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -52,6 +52,9 @@
 	// per cent of a pass, while each change copies experts and sends orders to all ranks;
 	// only a change of demand brings more.
 	minSkewGain = 0.2
+	// urgentSkewGain is the decrease of skew from which on one more pass under the old map
+	// costs more than a pass that is held for a change, some 20 ms. A lower skew is minor.
+	urgentSkewGain = 0.5
 )
 
 // Balancer leads one group. Run must be called by one goroutine only.
@@ -83,6 +86,9 @@
 	opening opening
 	// prediction is that of the latest change.
 	prediction prediction
+	// minorSkewAt is when the demand was observed that first showed a minor skew, zero if the
+	// skew is not minor.
+	minorSkewAt time.Time
 	// snapshot is the latest snapshot of all ranks, made at snapshotAt; lastStep is the latest
 	// pass seen in a sample.
 	snapshot   commander.Group
@@ -316,22 +322,13 @@
 	return out
 }
 
-// bounds returns the bounds of the next plan.
-func (b *Balancer) bounds(engine *holder.Engine) shifter.Bounds {
-	slowness := make([]float64, 0, len(b.snapshot))
-	for _, s := range b.snapshot {
-		slowness = append(slowness, s.Slowness)
-	}
-	return shifter.Bounds{MaxExperts: engine.SlotsPerRank, MaxNewExperts: engine.MaxNewExperts, Slowness: slowness}
-}
-
-// isSkewed reports whether a plan might reduce the skew by minSkewGain. No plan lowers the
-// skew below 1, and planning for a large group is expensive.
+// isSkewed reports whether a plan might reduce the skew by minSkewGain, and the skew lasts. No
+// plan lowers the skew below 1, and planning for a large group is expensive.
 func (b *Balancer) isSkewed(engine *holder.Engine) bool {
 	skew := shifter.Skew(b.placement, b.demand.Get(), b.bounds(engine))
 	b.delay.observe(skew, time.Now())
 	b.prediction.compare(skew, b.knownVersion, b.observedAt)
-	return skew >= 1+minSkewGain
+	return b.isLasting(skew)
 }
 
 // handleHeldPass waits for the leader that holds a pass, and ends the hold after
@@ -372,12 +369,14 @@
 	version := b.commander.NewVersion(g, own.Rank, time.Now())
 	err := b.commander.Change(ctx, g, own, commander.Prepare{
 		Version: version, Placement: plan.Placement, BaseVersion: b.knownVersion, Base: b.placement,
+		Urgent: plan.Before-plan.After >= urgentSkewGain,
 	})
 	b.delay.setResult(err)
 	if err == nil {
 		b.placement, b.knownVersion = plan.Placement, version
 		b.delay.setFollowed()
 		b.opening.isPending = false
+		b.minorSkewAt = time.Time{}
 		b.prediction = prediction{version: version, skew: plan.After, madeAt: time.Now()}
 	}
 	countChange(err, time.Since(start), planTime)
@@ -389,16 +388,6 @@
 	}
 }
 
-// copyTime estimates how long the copies of a plan take: the sum, over the layer sets, of
-// the largest number of copies that one rank makes for the set, at the rate of a link. It
-// is 0 if that rate is not known.
-func (b *Balancer) copyTime(p shifter.Plan, engine *holder.Engine) time.Duration {
-	if engine.LinkRate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(p.MaxRankCopies) * float64(engine.ExpertBytes) / engine.LinkRate * float64(time.Second))
-}
-
 // observe adds the counts of ranks to the demand. It reports whether there were new counts
 // and a demand to plan for.
 func (b *Balancer) observe(statuses []*commander.Status) bool {
