Placer: a cold server gets no second attempts

What callers saw: a second attempt could take what a cold server bears in a second, and waits there for its start. Cause: only servers at their cold rate were left out. Evidence: TestSecondAttemptTakesOnlySpareRoom/others_are_cold was seen to fail without the check.

--- a/internal/gateway/placer/spare.go
+++ b/internal/gateway/placer/spare.go
@@ -60,10 +60,10 @@
 	return float64(estimate) <= maxSpareLoad*float64(slots)
 }
 
-// hasSpareRoom reports whether a server may get second attempts: it is sound, and one more
-// request finds a free slot and leaves others free.
+// hasSpareRoom reports whether a server may get second attempts: it is sound and warm, and one
+// more request finds a free slot and leaves others free.
 func (p *Placer) hasSpareRoom(s *server, now time.Time) bool {
-	if p.closedReason(s, now) != notClosed || now.Before(s.ejectedUntil) || s.failureRate(now) > maxSpareFailureRate {
+	if p.closedReason(s, now) != notClosed || p.isCold(s, now) || now.Before(s.ejectedUntil) || s.failureRate(now) > maxSpareFailureRate {
 		return false
 	}
 	if broken, stalled := p.groupState(s, now); broken || stalled {
--- a/internal/gateway/placer/spare_test.go
+++ b/internal/gateway/placer/spare_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fleet/lister"
 )
 
@@ -54,6 +55,19 @@
 				}
 			}
 		}, false},
+		"others are cold": {func(p *Placer, first *Placed) {
+			p.SetCatalog(&holder.Catalog{Services: []holder.Service{{Name: "desk", ColdStart: time.Second, ColdRate: 5}}})
+			all := make([]lister.Server, 0, len(p.servers))
+			for _, s := range p.servers {
+				all = append(all, s.Server)
+			}
+			p.SetServers(all)
+			for _, s := range all {
+				if s.ID != first.ID {
+					p.SetCold(s, time.Minute, start)
+				}
+			}
+		}, false},
 		"others leave": {func(p *Placer, first *Placed) {
 			for _, s := range p.servers {
 				if s.ID != first.ID {
