Balancer: an opened group is read also where its ranks are not listed yet

In a trial play of a cut, the leader of one of two groups found 27 of its 32 ranks for 0.8 s after the opening, though it had read all of them just before: the list of engines comes from the gateways, which find those behind a cut again one after the other. The first change began 0.9 s after the opening, that of the other group 0.04 s after it.

An opened group is now read at the engines that are listed and at those of the latest full reading; so is a broken group of which a rank is not listed, whose sidecar did not hear of the leader until then.

Two cases of TestOpenedGroupFollowsKeptDemand hide half of the cut zone until a second after the opening.

--- a/internal/group/balancer/balancer.go
+++ b/internal/group/balancer/balancer.go
@@ -294,7 +294,11 @@
 	}
 	var members []*commander.Status
 	start := time.Now()
-	for _, s := range b.commander.ReadAll(ctx, b.engines(), q) {
+	engines := b.engines()
+	if b.isOpening() {
+		engines = b.knownEngines()
+	}
+	for _, s := range b.commander.ReadAll(ctx, engines, q) {
 		if s != nil && s.Group == own.Group {
 			members = append(members, s)
 		}
--- a/internal/group/balancer/cut_group_test.go
+++ b/internal/group/balancer/cut_group_test.go
@@ -52,9 +52,12 @@
 	// cutZone is the zone that is cut off, -1 for none; dead sidecars do not answer.
 	cutZone int
 	dead    map[int]bool
-	broken  bool
-	epoch   uint64
-	step    uint64
+	// unlistedZone is the zone of which every other rank is not listed until the group has
+	// been open for idleTime, -1 for none.
+	unlistedZone int
+	broken       bool
+	epoch        uint64
+	step         uint64
 	// openedAt is when the latest epoch began, followedAt when its skew first was below
 	// targetSkew.
 	openedAt, followedAt time.Time
@@ -86,7 +89,7 @@
 func rankOf(addr netip.AddrPort) int { return int(addr.Addr().As4()[3]) }
 
 func newCutGroup(ranks, experts int) *cutGroup {
-	g := &cutGroup{cutZone: -1, dead: make(map[int]bool), config: &holder.Engine{
+	g := &cutGroup{cutZone: -1, unlistedZone: -1, dead: make(map[int]bool), config: &holder.Engine{
 		LayerSets: cutSets, Experts: experts, SlotsPerRank: cutPlaces, MaxNewExperts: cutSpare, ExpertBytes: 54e6, LinkRate: 180e7,
 	}}
 	for range ranks {
@@ -374,14 +377,10 @@
 }
 
 func (g *cutGroup) startSidecar(ctx context.Context, wg *sync.WaitGroup, rank int) {
-	engines := make([]netip.AddrPort, 0, len(g.ranks))
-	for r := range g.ranks {
-		engines = append(engines, cutAddr(r))
-	}
 	m := messenger.New(cutAddr(rank), sidecarPort, &cutCaller{cutGroup: g, own: rank}, func(addr netip.AddrPort) messenger.Engine {
 		return &cutEngine{cutGroup: g, rank: rankOf(addr), from: rank}
 	})
-	b := New(m, cutAddr(rank), func() []netip.AddrPort { return engines }, func() *holder.Engine { return g.config }, WithMemory(m))
+	b := New(m, cutAddr(rank), g.listed, func() *holder.Engine { return g.config }, WithMemory(m))
 	ctx, cancel := context.WithCancel(ctx)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -389,6 +388,20 @@
 	wg.Go(func() { b.Run(ctx) })
 }
 
+// listed returns the engines that the gateways list.
+func (g *cutGroup) listed() []netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	engines := make([]netip.AddrPort, 0, len(g.ranks))
+	hidden := g.broken || g.cutZone >= 0 || g.isIdle()
+	for r := range g.ranks {
+		if !hidden || r%cutZones != g.unlistedZone || r/cutZones%2 == 0 {
+			engines = append(engines, cutAddr(r))
+		}
+	}
+	return engines
+}
+
 // followTime returns how long after the opening the skew was below targetSkew, and how many
 // maps were prepared until now.
 func (g *cutGroup) followTime() (time.Duration, int) {
--- a/internal/group/balancer/opening.go
+++ b/internal/group/balancer/opening.go
@@ -168,20 +168,35 @@
 	return roundInterval
 }
 
-// otherEngines returns the engines of the other ranks of the group, those of the whole
-// service if they are not known or one of them has been replaced.
+// otherEngines returns the engines of the other ranks of the group, and those of the whole
+// service if the ranks are not known or one of them is not listed.
 func (b *Balancer) otherEngines() []netip.AddrPort {
-	all := b.engines()
-	out := make([]netip.AddrPort, 0, len(all))
+	members := b.members()
+	listed := b.engines()
+	isListed := func(a netip.AddrPort) bool { return slices.Contains(listed, a) }
+	if len(members) == 0 || slices.ContainsFunc(members, func(a netip.AddrPort) bool { return !isListed(a) }) {
+		members = b.knownEngines()
+	}
+	return slices.DeleteFunc(members, func(a netip.AddrPort) bool { return a == b.own })
+}
+
+// members returns the engines of the ranks in the latest snapshot.
+func (b *Balancer) members() []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(b.snapshot))
 	for _, s := range b.snapshot {
-		if !slices.Contains(all, s.Addr) {
-			out = nil
-			break
-		}
 		out = append(out, s.Addr)
 	}
-	if len(out) == 0 {
-		out = slices.Clone(all)
+	return out
+}
+
+// knownEngines returns the engines that are listed and those of the latest snapshot: after a
+// cut, gateways list the engines behind it only once they have found them again.
+func (b *Balancer) knownEngines() []netip.AddrPort {
+	out := slices.Clone(b.engines())
+	for _, a := range b.members() {
+		if !slices.Contains(out, a) {
+			out = append(out, a)
+		}
 	}
-	return slices.DeleteFunc(out, func(a netip.AddrPort) bool { return a == b.own })
+	return out
 }
--- a/internal/group/balancer/opening_test.go
+++ b/internal/group/balancer/opening_test.go
@@ -21,6 +21,8 @@
 	moved bool
 	// fault happens to the leader's sidecar during each cut.
 	fault leaderFault
+	// unlisted is true if half of the zone is not listed for some time after each cut.
+	unlisted bool
 }
 
 type leaderFault int
@@ -36,6 +38,8 @@
 // under its initial map, because its leader has to learn the demand first or several lead.
 func TestOpenedGroupFollowsKeptDemand(t *testing.T) {
 	for _, size := range []struct{ ranks, experts int }{{12, 48}, {32, 128}} {
+		unlisted := openings{ranks: size.ranks, experts: size.experts, cutTime: 2 * time.Second, unlisted: true}
+		t.Run(fmt.Sprintf("%+v", unlisted), func(t *testing.T) { synctest.Test(t, unlisted.run) })
 		for _, cutTime := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 10 * time.Second} {
 			for _, moved := range []bool{false, true} {
 				for _, fault := range []leaderFault{leaderLives, leaderRestarts, leaderDies} {
@@ -64,6 +68,11 @@
 			g.setDemand(uint64(i + 2))
 		}
 		time.AfterFunc(o.cutTime/2, func() { g.disturbLeader(ctx, &wg, o.fault) })
+		if o.unlisted {
+			g.mu.Lock()
+			g.unlistedZone = i % cutZones
+			g.mu.Unlock()
+		}
 		g.cut(i%cutZones, o.cutTime)
 		time.Sleep(4 * time.Second)
 		took, maps := g.followTime()
