--- a/internal/gateway/forwarder/hedge.go
+++ b/internal/gateway/forwarder/hedge.go
@@ -194,7 +194,7 @@
 	if s := a.GetState(); s.Waiting > 0 || s.Running >= s.Limit {
 		return false
 	}
-	place := a.Ask(r.newAdmission(now), now)
+	place := a.Ask(r.newAdmission(), now)
 	if _, ok := a.GetDecision(place).(*admitter.Granted); !ok {
 		a.Leave(place, now)
 		return false
