Accountant: let refused connections that linger give way at once

What callers saw: an ordinary request waited long for room beside a crowd that is refused and connects again, since each refused connection kept its place for half a second so that the answer arrives. Change: such a connection is the first to give way, without the second that others have.

--- a/internal/gateway/evictor/conn.go
+++ b/internal/gateway/evictor/conn.go
@@ -149,6 +149,7 @@
 // connection on which the caller may still be sending. The request needs its memory no more.
 func (c *conn) CloseWrite() error {
 	c.account.End(time.Now())
+	c.account.Enter(accountant.Closing, time.Now())
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		return tcp.CloseWrite()
 	}
--- a/internal/process/accountant/accountant.go
+++ b/internal/process/accountant/accountant.go
@@ -89,8 +89,11 @@
 
 // Stages of a connection.
 const (
+	// Closing is a connection that is kept a little longer so that a refusal arrives. It gives way
+	// at once.
+	Closing Stage = iota
 	// Unfinished is a request that has not arrived whole, or a connection without any yet.
-	Unfinished Stage = iota
+	Unfinished
 	// Writing is an answer that the caller does not take.
 	Writing
 	// Idle is a connection whose requests have been answered.
--- a/internal/process/accountant/accountant_test.go
+++ b/internal/process/accountant/accountant_test.go
@@ -90,3 +90,21 @@
 	}
 	c.Assert(a.GetHeld(), qt.Equals, Held{})
 }
+
+// TestConnectionThatLingersGivesWayAtOnce guards against callers that find no room because
+// others that were refused are given time to read why.
+func TestConnectionThatLingersGivesWayAtOnce(t *testing.T) {
+	c := qt.New(t)
+	a := newSmall()
+	_, fresh := open(c, a, start)
+	for range 3 {
+		open(c, a, start)
+	}
+	c.Assert(a.Open(&fakeOwner{}, start.Add(minStall/2)), qt.IsNil)
+	lingering, owner := open(c, New(Bounds{Memory: 1 << 20, Descriptors: 1}), start)
+	c.Assert(lingering.Open(&fakeOwner{}, start), qt.IsNil)
+	lingering.Enter(Closing, start)
+	later := start.Add(2 * searchPause)
+	c.Assert(lingering.Open(&fakeOwner{}, later), qt.IsNotNil)
+	c.Assert([]int{owner.evictions, fresh.evictions}, qt.DeepEquals, []int{1, 0})
+}
--- a/internal/process/accountant/victim.go
+++ b/internal/process/accountant/victim.go
@@ -74,14 +74,14 @@
 }
 
 // findVictims returns accounts that hold what is asked for and have made no progress for
-// minStall: those of the lowest stage, and of these the ones that have waited the longest.
+// minStall, or are closing: those of the lowest stage, and of these the ones that have waited the longest.
 // Idle ones, which ordinary callers reuse, are chosen one by one. The caller holds mu.
 func (a *Accountant) findVictims(r request) []*Account {
 	latest := r.now.Add(-minStall).UnixNano()
 	var found []victim
 	for acc := range a.accounts {
 		v := victim{acc, acc.GetStage(), acc.since.Load()}
-		if acc != r.by && v.stage != Working && v.since <= latest && (r.resource == units || acc.bytes[r.resource] > 0) {
+		if acc != r.by && v.stage != Working && (v.stage == Closing || v.since <= latest) && (r.resource == units || acc.bytes[r.resource] > 0) {
 			found = append(found, v)
 		}
 	}
