--- a/internal/gateway/placer/admission_test.go
+++ b/internal/gateway/placer/admission_test.go
@@ -144,6 +144,7 @@
 // TestBurstOfBackgroundWorkLeavesRoomForUrgent guards urgent requests that come while a burst
 // of less urgent ones holds all places.
 func TestBurstOfBackgroundWorkLeavesRoomForUrgent(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := replay{kinds: newCompetingKinds(1), length: 24 * time.Second, seed: 1}
 	f.kinds[2].burstFrom, f.kinds[2].burstEnd, f.kinds[2].burstFactor = seconds(3), seconds(12), 5
@@ -157,6 +158,7 @@
 // TestLargeAccountLeavesRoomForOthers guards the accounts beside one that sends half of twice
 // the demand that the engines bear.
 func TestLargeAccountLeavesRoomForOthers(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := replay{kinds: newCompetingKinds(2), length: 24 * time.Second, seed: 2}
 	for i := range f.kinds {
@@ -173,6 +175,7 @@
 // TestLongPromptsAreServedAmongShortOnes guards the largest requests of a kind in a long
 // overload.
 func TestLongPromptsAreServedAmongShortOnes(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := replay{kinds: newCompetingKinds(1.5), length: 24 * time.Second, seed: 3}
 	before, after := compareRules(c, f)
@@ -184,6 +187,7 @@
 // TestImpatientCallersGainNothing guards callers that return as they are told beside some that
 // repeat at once.
 func TestImpatientCallersGainNothing(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := replay{kinds: newCompetingKinds(1.5), length: 24 * time.Second, seed: 4}
 	for i := range f.kinds {
@@ -199,6 +203,7 @@
 // TestCapacityFallsInBurst guards a burst in which a third of the engines turns slow, and with
 // them the passes of the whole group.
 func TestCapacityFallsInBurst(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := replay{kinds: newCompetingKinds(1), length: 24 * time.Second, seed: 5}
 	for i := range f.kinds {
@@ -221,6 +226,7 @@
 // TestGatewaysWithOldReportsFillEnginesOnce guards the engines of 30 gateways whose reports are
 // up to two seconds old, in a burst to twice what the engines bear.
 func TestGatewaysWithOldReportsFillEnginesOnce(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	for _, lag := range []float64{0.2, 1, 2} {
 		f := replay{kinds: newCompetingKinds(0.7), length: 24 * time.Second, seed: 6, reportLag: seconds(lag)}
@@ -237,6 +243,7 @@
 // TestNobodyIsRefusedWhileEnginesHaveRoom guards callers in calm times, when the demand of one
 // gateway varies far more than that of all.
 func TestNobodyIsRefusedWhileEnginesHaveRoom(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := replay{kinds: newCompetingKinds(0.6), length: 24 * time.Second, seed: 7}
 	_, after := compareRules(c, f)
@@ -249,6 +256,7 @@
 // runs with a map of three times the pass time, and every answer is late: they are still
 // served, the urgent ones first, and those that come after are in time again.
 func TestSkewedMapTakesNoRoomFromUrgent(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := replay{kinds: newCompetingKinds(0.8), length: 24 * time.Second, seed: 8}
 	f.skew = func(at time.Duration) float64 {
