Gossiper test: the bytes of the links were set without their lock

Cause: the test cleared the counts while gateways exchanged. Change: it takes the difference of two counts under the lock.

--- a/internal/fleet/gossiper/loss_test.go
+++ b/internal/fleet/gossiper/loss_test.go
@@ -32,9 +32,7 @@
 	var wg sync.WaitGroup
 	n := startLinkedGateways(ctx, &wg, nil)
 	time.Sleep(3 * time.Second)
-	for _, l := range n.links {
-		l.bytes = 0
-	}
+	before := n.countBytes()
 	for i, g := range n.gossipers {
 		for k := range losses {
 			time.AfterFunc(cutDuration*time.Duration(k)/time.Duration(losses), func() {
@@ -51,11 +49,18 @@
 	}
 	cancel()
 	wg.Wait()
+	return (n.countBytes() - before) / len(n.links)
+}
+
+// countBytes returns the bytes on all links.
+func (n *linkedGateways) countBytes() int {
 	sum := 0
 	for _, l := range n.links {
+		l.mu.Lock()
 		sum += l.bytes
+		l.mu.Unlock()
 	}
-	return sum / len(n.links)
+	return sum
 }
 
 // TestLossesOfCutZoneFillNoLinks guards against gateways that send all losses in every
