--- /dev/null
+++ b/review/standin-2/lab.go
@@ -0,0 +1,106 @@
+//go:build review
+
+// Standin-2 plays the cases of the second review: it starts gateways beside stand-ins of the
+// platform's store, of runners and of clients, which are in this process.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// lab is the state of a case.
+type lab struct {
+	binary, dir string
+	// trouble is false if the disruption is left out.
+	trouble  bool
+	store    *store
+	gateways []*gateway
+	mu       sync.Mutex
+	record   *os.File
+	started  time.Time
+}
+
+// errCannotRun says that a case could not run.
+type errCannotRun struct{ error }
+
+var cases = map[string]func(l *lab) (held bool, err error){}
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE BINARY RECORD")
+		os.Exit(2)
+	}
+	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
+}
+
+func run(name, binary, record string) int {
+	play := cases[name]
+	if play == nil {
+		fmt.Fprintln(os.Stderr, "no case", name)
+		return 2
+	}
+	dir, err := os.MkdirTemp("", "case-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	if os.Getenv("KEEP") == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	l := &lab{binary: binary, dir: dir, trouble: os.Getenv("TROUBLE") != "0", started: time.Now()}
+	if l.binary, err = filepath.Abs(binary); err == nil {
+		l.record, err = os.Create(record)
+	}
+	if err == nil {
+		l.store, err = newStore()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer func() {
+		for _, g := range l.gateways {
+			g.kill()
+		}
+	}()
+	held, err := play(l)
+	switch {
+	case err != nil:
+		l.note("the case could not run: %v", err)
+		return 2
+	case !held:
+		l.note("result: the rule was broken")
+		return 1
+	}
+	l.note("result: the rule held")
+	return 0
+}
+
+// note writes a line to the record and to standard output.
+func (l *lab) note(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	line := fmt.Sprintf("%7.3f  %s\n", time.Since(l.started).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Print(line)
+	_, _ = l.record.WriteString(line)
+}
+
+// startGateway starts a gateway and waits until it is ready.
+func (l *lab) startGateway(name, zone string, m machine) (*gateway, error) {
+	g, err := newGateway(l.dir, name, zone, l.store.addr, m)
+	if err != nil {
+		return nil, err
+	}
+	if err := g.start(l.binary); err != nil {
+		return nil, err
+	}
+	l.gateways = append(l.gateways, g)
+	if !g.awaitReady(20 * time.Second) {
+		return nil, fmt.Errorf("gateway %s does not get ready", name)
+	}
+	return g, nil
+}
