review: the scripts end with 2 where they can't run

Looked for: runs that would hold only because connections could not be opened or no gateway served. Done: the stand-in asks for 6,000 open files and for one served request before the disruption.

--- a/review/standin-2/bodies.go
+++ b/review/standin-2/bodies.go
@@ -118,6 +118,9 @@
 		if err != nil {
 			return false, err
 		}
+		if err := l.awaitServed(g, http.MethodPost, "/orders/x", "an order"); err != nil {
+			return false, err
+		}
 		killers = append(killers, &killer{gateway: g, l: l, limit: smallest.memory})
 	}
 	time.Sleep(time.Second)
--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -6,9 +6,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,9 +26,6 @@
 	started  time.Time
 }
 
-// errCannotRun says that a case could not run.
-type errCannotRun struct{ error }
-
 var cases = map[string]func(l *lab) (held bool, err error){}
 
 func main() {
@@ -67,7 +66,10 @@
 			g.kill()
 		}
 	}()
-	held, err := play(l)
+	held, err := checkDescriptors()
+	if err == nil {
+		held, err = play(l)
+	}
 	switch {
 	case err != nil:
 		l.note("the case could not run: %v", err)
@@ -80,6 +82,32 @@
 	return 0
 }
 
+// minDescriptors is the number of open files that the largest crowd needs.
+const minDescriptors = 6000
+
+// checkDescriptors returns an error if this process may not open enough connections.
+func checkDescriptors() (bool, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return false, err
+	}
+	if limit.Cur < minDescriptors {
+		return false, fmt.Errorf("%d open files are allowed, %d are needed", limit.Cur, minDescriptors)
+	}
+	return true, nil
+}
+
+// awaitServed waits until a gateway answers a request with 200.
+func (l *lab) awaitServed(g *gateway, method, path, body string) error {
+	for n := range 50 {
+		if send(g.callers, method, path, fmt.Sprintf("first-%s-%d", g.name, n), body, 2500*time.Millisecond).status == http.StatusOK {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("%s serves no request", g.name)
+}
+
 // note writes a line to the record and to standard output.
 func (l *lab) note(format string, args ...any) {
 	l.mu.Lock()
--- a/review/standin-2/slow_crowd.go
+++ b/review/standin-2/slow_crowd.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"sync"
@@ -87,6 +88,9 @@
 	if err != nil {
 		return false, err
 	}
+	if err := l.awaitServed(g, http.MethodGet, "/status/x", ""); err != nil {
+		return false, err
+	}
 	time.Sleep(contact)
 	end := time.Now().Add(crowdTime)
 	var open, connections atomic.Int64
