gateway: an answer with a malformed head is no answer

What callers saw: answers of a backend server in trouble, passed on as answers. With a space in, before or after a field name, or a line feed before one, a 200 without the line, with the line joined to the field before it ("X-Response-Stamp: s X-Extra: v"), or with a body that began with lines of the head. Statuses 600 and 999 came through as they were. After the status 000, or any below 100, callers waited for their deadline, and the bytes that followed were read as the answer.

Cause: net/http reads heads leniently. It takes three digits for a status, keeps names with spaces, joins folded lines, ends a line at a bare line feed and takes any version. Such a head has two readings, and the forwarder relied on the one. It took each status below 200 for an interim answer. Ruled out: what the forwarder does with a parsed head; with a space in the name of Content-Length, the length is lost before it sees the head.

Change: validator.Head checks each byte of a head by RFC 9112 while it is read, in dialer.Conn.ReadAnswer, the only place where gateways read answers: first and second attempts, resumptions, refusals, interim heads and late answers to other requests. Statuses are 100 to 599 but for 101, which no request asks for. What fails is an attempt with an unknown outcome, as after a broken connection: the connection is closed, nothing in the head is believed, a repeatable request goes elsewhere at once, and others get 502. Line answer_malformed, counter siskinfall_answers_malformed_total.

--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -21,6 +21,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/backend/limiter"
+	"siskinfall/internal/backend/validator"
 	"siskinfall/internal/fault/wrapper"
 )
 
@@ -64,6 +65,8 @@
 	Reader *bufio.Reader
 	// readLimit is the source of Reader; it is unlimited except within ReadAnswer.
 	readLimit io.LimitedReader
+	// validated is the source of readLimit, over the embedded Conn.
+	validated *validator.Conn
 	// Reused is whether the connection has carried a request before.
 	Reused bool
 	key    Key
@@ -103,7 +106,8 @@
 }
 
 func newConn(conn net.Conn, key Key, pool *Pool) *Conn {
-	c := &Conn{Conn: conn, key: key, pool: pool, idleTimeout: defaultIdleTimeout, readLimit: io.LimitedReader{R: conn, N: math.MaxInt64}}
+	c := &Conn{Conn: conn, validated: validator.NewConn(conn), key: key, pool: pool, idleTimeout: defaultIdleTimeout}
+	c.readLimit = io.LimitedReader{R: c.validated, N: math.MaxInt64}
 	c.Reader = bufio.NewReaderSize(&c.readLimit, readBufferSize)
 	return c
 }
@@ -112,15 +116,26 @@
 func (c *Conn) ServerID() string { return c.key.ID }
 
 // ReadAnswer reads the head of an answer to req. It returns limiter.ErrTooLarge if the
-// head exceeds limiter.MaxHeadBytes.
+// head exceeds limiter.MaxHeadBytes, and an error that wraps validator.ErrMalformed if it is
+// malformed. The connection can't be used after an error.
 func (c *Conn) ReadAnswer(req *http.Request) (*http.Response, error) {
 	c.readLimit.N = limiter.MaxHeadBytes - int64(c.Reader.Buffered())
+	buffered, err := c.Reader.Peek(c.Reader.Buffered())
+	if err == nil {
+		err = c.validated.ExpectHead(buffered)
+	}
+	if err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(c.Reader, req)
-	if err != nil && c.readLimit.N <= 0 {
+	switch {
+	case err == nil:
+		c.readLimit.N = math.MaxInt64
+		return resp, nil
+	case c.readLimit.N <= 0:
 		return nil, limiter.ErrTooLarge
 	}
-	c.readLimit.N = math.MaxInt64
-	return resp, err
+	return nil, c.validated.Explain(err)
 }
 
 // Pool holds connections to all servers. It is safe for concurrent use.
--- a/internal/backend/limiter/limiter.go
+++ b/internal/backend/limiter/limiter.go
@@ -1,6 +1,6 @@
 // Package limiter bounds how much of one answer is read, so that a backend server, or
 // another process at its address, can't occupy memory, a connection or a caller with
-// bytes that never end.
+// bytes that never end. Its Transport also rejects answers with a malformed head.
 package limiter
 
 import (
@@ -42,3 +42,9 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_answers_too_large_total{step=%q}`, src.Step)).Inc()
 	log.Warn("size limit exceeded", "event", "answer_too_large", "request", src.Request, "server", src.Server, "step", src.Step, "bytes", bound)
 }
+
+// ReportMalformed logs and counts an answer whose head is malformed.
+func ReportMalformed(src Source, err error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`siskinfall_answers_malformed_total{step=%q}`, src.Step)).Inc()
+	log.Warn("answer rejected", "event", "answer_malformed", "request", src.Request, "server", src.Server, "step", src.Step, "error", err)
+}
--- /dev/null
+++ b/internal/backend/validator/head.go
@@ -0,0 +1,170 @@
+// Package validator checks the heads of answers by RFC 9112, sections 2 to 5. net/http is
+// lenient: it takes any three digits for a status, keeps field names with spaces, joins folded
+// lines and ends a head at a bare line feed. Such a head has two readings, and with it the body
+// that its fields delimit.
+package validator
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrMalformed is returned for an answer whose head is no HTTP/1.x, or is for a switch of
+// protocols, which no request here asks for.
+var ErrMalformed = errors.New("answer is malformed")
+
+// part is the part of a head that the next byte belongs to.
+type part int
+
+const (
+	// partBody is all that follows a final head. It is not checked.
+	partBody part = iota
+	partStatusLine
+	partReason
+	partFieldStart
+	partFieldName
+	partFieldValue
+	// partLineEnd is the line feed after a carriage return.
+	partLineEnd
+	// partHeadEnd is the line feed that ends the head.
+	partHeadEnd
+)
+
+var partNames = [...]string{"body", "status line", "reason", "field name", "field name", "field value", "line end", "line end"}
+
+// Control bytes of a head.
+const (
+	carriageReturn = '\r'
+	lineFeed       = '\n'
+	tab            = '\t'
+	del            = 0x7f
+)
+
+// Statuses of answers.
+const (
+	minStatus = 100
+	// switchingProtocols would be followed by another protocol's bytes.
+	switchingProtocols = 101
+	// minFinalStatus is the first status that ends the interim answers.
+	minFinalStatus = 200
+	// MaxStatus is the highest status that HTTP defines a class for.
+	MaxStatus = 599
+)
+
+// statusLine is the beginning of a status line; a 0 stands for a digit.
+const statusLine = "HTTP/1.0 000"
+
+// Head checks the bytes of answers' heads, which may come in pieces. The zero value expects
+// no head.
+type Head struct {
+	part part
+	// line counts the lines of the head from 1.
+	line int
+	// column is the number of bytes of the status line that were checked.
+	column int
+	status int
+}
+
+// Expect makes the next byte the first one of a head.
+func (h *Head) Expect() { *h = Head{part: partStatusLine, line: 1} }
+
+// Check checks the next bytes of an answer. After an interim head it expects another one, after
+// a final head it accepts all bytes. It returns the number of bytes before the first that is
+// malformed, with an error that wraps ErrMalformed.
+func (h *Head) Check(data []byte) (int, error) {
+	for i, b := range data {
+		if h.part == partBody {
+			break
+		}
+		in, line := h.part, h.line
+		if !h.accept(b) {
+			return i, fmt.Errorf("%w: byte %#02x in the %s, line %d", ErrMalformed, b, partNames[in], line)
+		}
+	}
+	return len(data), nil
+}
+
+// accept moves to the part that follows a byte. It reports false if the byte is malformed.
+func (h *Head) accept(b byte) bool {
+	switch h.part {
+	case partStatusLine:
+		return h.acceptStatusLine(b)
+	case partReason, partFieldValue:
+		return h.acceptText(b)
+	case partFieldStart:
+		if b == carriageReturn {
+			h.part = partHeadEnd
+			return true
+		}
+		h.part = partFieldName
+		return isToken(b)
+	case partFieldName:
+		if b == ':' {
+			h.part = partFieldValue
+			return true
+		}
+		return isToken(b)
+	case partLineEnd:
+		h.part = partFieldStart
+		h.line++
+		return b == lineFeed
+	case partHeadEnd:
+		h.end()
+		return b == lineFeed
+	case partBody:
+	}
+	return true
+}
+
+// acceptStatusLine accepts the version, the status and the space before the reason, which
+// some servers leave out with the reason.
+func (h *Head) acceptStatusLine(b byte) bool {
+	if h.column == len(statusLine) {
+		h.part = partReason
+		return b == carriageReturn && h.acceptText(b) || b == ' '
+	}
+	want := statusLine[h.column]
+	h.column++
+	if want != '0' {
+		return b == want
+	}
+	if b < '0' || b > '9' {
+		return false
+	}
+	if h.column <= len("HTTP/1.0") {
+		return true
+	}
+	h.status = h.status*10 + int(b-'0')
+	return h.column < len(statusLine) || h.status >= minStatus && h.status <= MaxStatus && h.status != switchingProtocols
+}
+
+// acceptText accepts a byte of a reason or a field value.
+func (h *Head) acceptText(b byte) bool {
+	if b == carriageReturn {
+		h.part = partLineEnd
+		return true
+	}
+	return b == tab || b >= ' ' && b != del
+}
+
+// end ends a head.
+func (h *Head) end() {
+	if h.status < minFinalStatus {
+		h.Expect()
+		return
+	}
+	h.part = partBody
+}
+
+// isToken reports whether a field name may hold a byte (RFC 9110, section 5.6.2).
+func isToken(b byte) bool {
+	switch {
+	case b >= '0' && b <= '9', b >= 'A' && b <= 'Z', b >= 'a' && b <= 'z':
+		return true
+	}
+	switch b {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return false
+}
--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -15,6 +15,7 @@
 
 	"siskinfall/internal/backend/dialer"
 	"siskinfall/internal/backend/limiter"
+	"siskinfall/internal/backend/validator"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/gateway/placer"
@@ -327,8 +328,11 @@
 func (x *exchange) readHead(conn *dialer.Conn, req *http.Request, p *placer.Placed) (*answered, error) {
 	for range maxStrayAnswers + 1 {
 		resp, err := conn.ReadAnswer(req) //nolint:bodyclose // the body ends with the connection
-		if errors.Is(err, limiter.ErrTooLarge) {
+		switch {
+		case errors.Is(err, limiter.ErrTooLarge):
 			limiter.Report(x.sourceOf(conn, "read_head"), limiter.MaxHeadBytes)
+		case errors.Is(err, validator.ErrMalformed):
+			limiter.ReportMalformed(x.sourceOf(conn, "read_head"), err)
 		}
 		if err != nil {
 			return nil, err
--- a/internal/gateway/forwarder/hedge_fixture_test.go
+++ b/internal/gateway/forwarder/hedge_fixture_test.go
@@ -42,6 +42,8 @@
 	delay, connect func(n int) time.Duration
 	status         int
 	isStream       bool
+	// malformed holds lines of the head that are no HTTP.
+	malformed string
 	// gap is the time between the two events of a stream.
 	gap       time.Duration
 	runs, cut int
@@ -78,8 +80,8 @@
 	if s.isStream {
 		parts = [2]string{"id: 1\ndata: " + id + "\n\n", "id: 2\ndata: end of " + id + "\n\n"}
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\nServer-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		s.status, r.Header.Get("Id"), id, len(parts[0])+len(parts[1]), parts[0])
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\nServer-Id: %s\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		s.status, r.Header.Get("Id"), id, s.malformed, len(parts[0])+len(parts[1]), parts[0])
 	if s.isStream {
 		time.Sleep(s.gap)
 		_, _ = conn.Write([]byte(parts[1]))
--- a/internal/gateway/forwarder/hedge_test.go
+++ b/internal/gateway/forwarder/hedge_test.go
@@ -211,6 +211,36 @@
 	})
 }
 
+// TestMalformedAnswerWinsRace guards against an answer that is no HTTP which is relayed since it
+// came first, as the first or the second attempt, or as a stream.
+func TestMalformedAnswerWinsRace(t *testing.T) {
+	for name, isStream := range map[string]bool{"whole": false, "stream": true} {
+		// The second attempt starts after half of the objective, the other answer comes later.
+		for i, delay := range []time.Duration{testObjective * 3 / 4, quickAnswer} {
+			t.Run(fmt.Sprintf("%s of attempt %d", name, i+1), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					servers := []*pipeServer{{delay: always(testObjective), isStream: isStream}, {delay: always(testObjective), isStream: isStream}}
+					servers[i].malformed = "X-Extra : v\r\n"
+					servers[i].delay = always(delay)
+					f := newHedgeFixture(c, 0.1, servers...)
+					if isStream {
+						f.route.Kind = holder.Streaming
+					}
+					f.earn()
+					release := f.placeOn(0)
+					w, _ := f.get(c.Context(), "a")
+					release()
+					runs, _ := f.counts()
+					c.Assert(runs, qt.Equals, 2)
+					c.Assert(w.Code, qt.Equals, http.StatusOK)
+					c.Assert(w.Header().Get("Server-Id"), qt.Equals, fmt.Sprint("s", 1-i))
+				})
+			})
+		}
+	}
+}
+
 // TestStreamOfOneServerIsRelayed guards against a stream made of events of two servers.
 func TestStreamOfOneServerIsRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
