gateway: a server that answers with a malformed head has not crashed

What callers saw: a proper order, sent again after 502, was refused with 503 as a request that crashes servers, from the fourth time on and at every gateway, when a server in trouble had answered it three times with bytes that are no HTTP.

Cause: the forwarder counted each connection that ended without a usable answer as the loss of a server under the request, but for answers that are too large. A malformed answer shows that its server lives.

Change: handleUnknown treats validator.ErrMalformed as it does limiter.ErrTooLarge: the attempt is lost for the server's score, and nothing counts against the request. A head that breaks off is no malformed one, and still counts.

--- a/internal/gateway/forwarder/serve.go
+++ b/internal/gateway/forwarder/serve.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"siskinfall/internal/backend/limiter"
+	"siskinfall/internal/backend/validator"
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fault/wrapper"
 	"siskinfall/internal/gateway/placer"
@@ -260,7 +261,7 @@
 		p.Finish(placer.Failed, time.Now())
 	case errors.Is(err, errUnidentified):
 		p.Finish(placer.Rejected, time.Now())
-	case errors.Is(err, limiter.ErrTooLarge):
+	case errors.Is(err, limiter.ErrTooLarge), errors.Is(err, validator.ErrMalformed):
 		p.Finish(placer.Lost, time.Now())
 	case isCutOff(err, p.GetDownSince(), x.sentAt, time.Now()):
 		p.Finish(placer.Lost, time.Now())
@@ -291,7 +292,7 @@
 }
 
 // addLoss records a server that was lost while it had the request. A server that sends
-// without end, or that answers, has not crashed.
+// without end, or that answers, even if malformed, has not crashed.
 func (x *exchange) addLoss(p *placer.Placed, err error) {
 	var opts []quarantiner.LossOption
 	if p.IsEngine() {
