caller: the operator's client rejects malformed answers

What operators saw: the command line took an answer that was no HTTP for the entry instance's, and read one without end until the call timed out after a minute.

Cause: the client used net/http's default transport, with neither bounds nor a check of heads.

Change: it uses limiter.Transport like all other clients, with the size limit of answers. The proxy settings of the environment apply as before.

--- a/internal/operator/caller/caller.go
+++ b/internal/operator/caller/caller.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"time"
 
+	"siskinfall/internal/backend/limiter"
 	"siskinfall/internal/fault/wrapper"
 )
 
@@ -48,7 +49,8 @@
 // NewClient returns a Client for the admin listener at addr. An empty key sends no
 // bearer key.
 func NewClient(addr netip.AddrPort, key string) *Client {
-	return &Client{addr: addr, key: key, http: &http.Client{Timeout: callTimeout}}
+	transport := limiter.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment}, "admin_call", limiter.MaxAnswerBytes)
+	return &Client{addr: addr, key: key, http: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // Get requests path and decodes the JSON answer into out; a *[]byte receives the
