dispatcher: a status above 599 from an agent is no answer

What callers saw: on the product's own interface, an answer with the status 600 or 999, as a backend server in trouble had sent it to an agent.

Cause: the entry's bound on the status of a head was the highest that net/http can send, not the highest of HTTP. Agents reject such answers now, but older ones pass them on while a fleet is upgraded, and answers that they recorded are replayed.

Change: the bound is validator.MaxStatus. As with the statuses 0 and 101, which were rejected before, the attempt ends without an answer.

Evidence: the two new cases of TestInterimOrSecondHeadIsNotForwarded failed before and pass now.

--- a/internal/entry/dispatcher/attempt.go
+++ b/internal/entry/dispatcher/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"siskinfall/internal/backend/validator"
 	"siskinfall/internal/check/asserter"
 	"siskinfall/internal/config/registrar"
 	"siskinfall/internal/fault/wrapper"
@@ -141,9 +142,6 @@
 	}
 }
 
-// maxStatus is the highest status that net/http can send.
-const maxStatus = 999
-
 // answerReceiver is the state of one attempt's answer as it arrives.
 type answerReceiver struct {
 	*job
@@ -220,7 +218,7 @@
 	switch {
 	case r.headReceived:
 		return wrapper.At("receive_answer", r.peer, errSecondHead)
-	case h.GetStatus() < http.StatusOK || h.GetStatus() > maxStatus:
+	case h.GetStatus() < http.StatusOK || h.GetStatus() > validator.MaxStatus:
 		return wrapper.At("receive_answer", r.peer, errStatusNotFinal)
 	}
 	r.headReceived = true
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -327,7 +327,8 @@
 	}
 }
 
-// A head is final and comes once: net/http takes a status below 200 for an interim one.
+// A head has a status of HTTP, is final and comes once: net/http takes a status below 200 for an
+// interim one.
 func TestInterimOrSecondHeadIsNotForwarded(t *testing.T) {
 	c := qt.New(t)
 	withStatus := func(statuses ...uint32) script {
@@ -338,7 +339,7 @@
 			sendEnd(st, req, 0, "")
 		}
 	}
-	for name, answer := range map[string]script{"none": withStatus(0), "interim": withStatus(101), "second": withStatus(200, 200)} {
+	for name, answer := range map[string]script{"none": withStatus(0), "interim": withStatus(101), "second": withStatus(200, 200), "too high": withStatus(600), "highest": withStatus(999)} {
 		c.Run(name, func(c *qt.C) {
 			f := newFixture(c, 1, answer)
 			s := &sink{}
