limiter: a malformed answer on a reused connection has a test

Question: is each answer of a connection checked, or the first one only, and does net/http send the request again?

Beside it, for readers: names of the parts of a head stand beside their constants, the dialer doesn't handle an error that can't occur, and the mangler's bytes have a plain name.

--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -120,11 +120,9 @@
 // malformed. The connection can't be used after an error.
 func (c *Conn) ReadAnswer(req *http.Request) (*http.Response, error) {
 	c.readLimit.N = limiter.MaxHeadBytes - int64(c.Reader.Buffered())
-	buffered, err := c.Reader.Peek(c.Reader.Buffered())
-	if err == nil {
-		err = c.validated.ExpectHead(buffered)
-	}
-	if err != nil {
+	// Peek can't fail for bytes that are buffered.
+	buffered, _ := c.Reader.Peek(c.Reader.Buffered())
+	if err := c.validated.ExpectHead(buffered); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(c.Reader, req)
--- a/internal/backend/limiter/transport_test.go
+++ b/internal/backend/limiter/transport_test.go
@@ -3,8 +3,10 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -57,6 +59,36 @@
 	}
 }
 
+// TestMalformedAnswerOnReusedConnectionIsReturned guards against a check of the first answer of
+// a connection only, and against sending a request again that the server has run.
+func TestMalformedAnswerOnReusedConnectionIsReturned(t *testing.T) {
+	for fault, text := range mangler.Mangle(sound) {
+		t.Run(fault, func(t *testing.T) {
+			c := qt.New(t)
+			var requests atomic.Int64
+			ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if requests.Add(1) == 1 {
+					_, _ = io.WriteString(w, "body")
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				c.Check(err, qt.IsNil)
+				_, _ = io.WriteString(conn, text)
+				_ = conn.Close()
+			}))
+			c.Cleanup(ts.Close)
+			addr := netip.MustParseAddrPort(ts.Listener.Addr().String())
+			transport := NewTransport(&http.Transport{MaxConnsPerHost: 1}, "test", MaxAnswerBytes)
+			defer transport.CloseIdleConnections()
+			_, err := send(c, transport, addr)
+			c.Assert(err, qt.IsNil)
+			_, err = send(c, transport, addr)
+			c.Assert(err, qt.ErrorIs, validator.ErrMalformed)
+			c.Assert(requests.Load(), qt.Equals, int64(2))
+		})
+	}
+}
+
 // TestSoundAnswerIsRejected guards against failing proper answers after interim ones.
 func TestSoundAnswerIsRejected(t *testing.T) {
 	for name, text := range map[string]string{"usual": sound, "after interim": "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 X\r\n\r\n" + sound} {
--- a/internal/backend/validator/head.go
+++ b/internal/backend/validator/head.go
@@ -9,8 +9,8 @@
 	"fmt"
 )
 
-// ErrMalformed is returned for an answer whose head is no HTTP/1.x, or is for a switch of
-// protocols, which no request here asks for.
+// ErrMalformed is returned for an answer whose head is no HTTP/1.x, or that switches to another
+// protocol, which no request here asks for.
 var ErrMalformed = errors.New("answer is malformed")
 
 // part is the part of a head that the next byte belongs to.
@@ -30,7 +30,10 @@
 	partHeadEnd
 )
 
-var partNames = [...]string{"body", "status line", "reason", "field name", "field name", "field value", "line end", "line end"}
+var partNames = [...]string{
+	partBody: "body", partStatusLine: "status line", partReason: "reason", partFieldStart: "field name", partFieldName: "field name",
+	partFieldValue: "field value", partLineEnd: "line end", partHeadEnd: "line end",
+}
 
 // Control bytes of a head.
 const (
@@ -45,13 +48,13 @@
 	minStatus = 100
 	// switchingProtocols would be followed by another protocol's bytes.
 	switchingProtocols = 101
-	// minFinalStatus is the first status that ends the interim answers.
+	// minFinalStatus is the lowest status of an answer that no other one follows.
 	minFinalStatus = 200
 	// MaxStatus is the highest status that HTTP defines a class for.
 	MaxStatus = 599
 )
 
-// statusLine is the beginning of a status line; a 0 stands for a digit.
+// statusLine is the pattern of a status line up to the reason; a 0 stands for any digit.
 const statusLine = "HTTP/1.0 000"
 
 // Head checks the bytes of answers' heads, which may come in pieces. The zero value expects
--- a/internal/standin/mangler/mangler.go
+++ b/internal/standin/mangler/mangler.go
@@ -31,9 +31,8 @@
 	"no answer":             "\xff\x00\xfe",
 }
 
-// blanks are the bytes that a field name must not hold and that parsers are most often lenient
-// about: blanks, line ends and other control bytes.
-var blanks = map[string]string{
+// badBytes are bytes that a field name must not hold: blanks, line ends and other control bytes.
+var badBytes = map[string]string{
 	"space": " ", "tab": "\t", "NUL": "\x00", "BEL": "\a", "LF": "\n", "VT": "\v", "CR": "\r", "ESC": "\x1b", "DEL": "\x7f",
 }
 
@@ -50,7 +49,7 @@
 	variants["no colon"] = strings.Replace(answer, length, "X-Extra\r\n"+length, 1)
 	variants["control in a value"] = strings.Replace(answer, length, "X-Extra: a\x01b\r\n"+length, 1)
 	variants["line end without CR"] = statusLine + "\n" + rest
-	for name, b := range blanks {
+	for name, b := range badBytes {
 		for position, field := range map[string]string{"before": b + "X-Extra", "within": "X" + b + "Extra", "after": "X-Extra" + b} {
 			variants[fmt.Sprintf("%s %s a field name", name, position)] = strings.Replace(answer, length, field+": v\r\n"+length, 1)
 		}
