Evictor: a request that begins is not charged for bytes that were sent ahead

What callers saw: nothing that was noticed. A caller that sends its next request ahead could be charged for a byte of it with the request before, and a request in progress could count as one whose head is still read, which gives way first at the bounds of the process.

Cause: net/http starts to read ahead just before it calls the handler. The connection looked at its phase under mu, but added to the head after mu was released, since charging may evict other connections.

Change: headMu orders both from the look at the phase to the end of the charge, so bytes that are read ahead either come before the request or find it in progress and are not added. Evictions lock mu only, so headMu may be held while the account is charged.

--- a/internal/gateway/evictor/conn.go
+++ b/internal/gateway/evictor/conn.go
@@ -47,9 +47,12 @@
 	// timer closes the connection at the timeout of the phase; it is stopped while
 	// serving.
 	timer *time.Timer
+	// headMu orders what is read and the beginning of a request, during which net/http reads
+	// ahead. It is locked before mu. mu must not be held while the account is charged, since
+	// that may evict other connections; headMu may, since evictions don't lock it.
+	headMu sync.Mutex
 	// head is what has been read of the next head, and charged for it. It is not used while a
-	// request is in progress. mu must not be held while the account is charged, since that may
-	// evict other connections.
+	// request is in progress. headMu guards it.
 	head head
 	// writeBy is the write deadline of the connection.
 	writeBy time.Time
@@ -68,6 +71,8 @@
 // addToHead charges what was read if it belongs to a head. It reports false if there is no
 // room for it.
 func (c *conn) addToHead(p []byte) bool {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
 	c.mu.Lock()
 	was := c.phase
 	if was == idle {
@@ -109,6 +114,8 @@
 
 // begin starts a request. It reports false if there is no room for it.
 func (c *conn) begin(r *http.Request) bool {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
 	c.setPhase(serving)
 	if c.account == nil {
 		return true
@@ -172,6 +179,14 @@
 	return nil
 }
 
+// awaitHead makes the connection idle.
+func (c *conn) awaitHead() {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = head{}
+	c.setPhase(idle)
+}
+
 // setPhase starts a phase and its timeout.
 func (c *conn) setPhase(next phase) {
 	c.mu.Lock()
@@ -187,7 +202,6 @@
 	c.phase = next
 	switch next {
 	case idle:
-		c.head = head{}
 		c.timer = time.AfterFunc(c.idleTimeout(), func() { c.evict(causeIdle) })
 	case readingHead:
 		c.timer = time.AfterFunc(c.headerTimeout(), func() { c.evict(causeSlowHead) })
--- a/internal/gateway/evictor/evictor.go
+++ b/internal/gateway/evictor/evictor.go
@@ -87,7 +87,7 @@
 		}
 	}
 	// A caller may connect some time before its first request.
-	cc.setPhase(idle)
+	cc.awaitHead()
 	return cc
 }
 
@@ -110,7 +110,7 @@
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if cc, ok := c.(*conn); ok && state == http.StateIdle {
 			cc.account.End(time.Now())
-			cc.setPhase(idle)
+			cc.awaitHead()
 		}
 		if next != nil {
 			next(c, state)
--- a/internal/gateway/evictor/head_test.go
+++ b/internal/gateway/evictor/head_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,6 +79,32 @@
 	}
 }
 
+// TestBytesSentAheadAreChargedToRequestBefore guards against bytes of the next request that are
+// added to the head of a request while it begins, which net/http reads ahead at that time.
+func TestBytesSentAheadAreChargedToRequestBefore(t *testing.T) {
+	c := qt.New(t)
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	var want head
+	want.set(r)
+	// Long enough for the request to begin while they are added.
+	ahead := bytes.Repeat([]byte("x"), 8<<20)
+	for range 20 {
+		e := New(holder.New(), WithAccounts(accountant.New(accountant.Bounds{Memory: 1 << 30, Descriptors: 10})))
+		near, far := net.Pipe()
+		conn := e.newConn(near)
+		c.Assert(conn.addToHead([]byte("GET / HTTP/1.1\r\n")), qt.IsTrue)
+		begun := false
+		var wg sync.WaitGroup
+		wg.Go(func() { begun = conn.begin(r) })
+		c.Check(conn.addToHead(ahead), qt.IsTrue)
+		wg.Wait()
+		c.Assert(begun, qt.IsTrue)
+		c.Assert(conn.head.bytes, qt.Equals, want.bytes)
+		c.Assert(conn.Close(), qt.IsNil)
+		c.Assert(far.Close(), qt.IsNil)
+	}
+}
+
 // FuzzHeadsAndChunkedBodies sends a request's bytes in two parts, then an ordinary request on
 // another connection. Nothing that the first caller sends may keep the second from being served.
 func FuzzHeadsAndChunkedBodies(f *testing.F) {
