Limiter: clients take a redirect for an answer and do not follow it

What callers saw: an order that an engine in trouble answered with 302 counted as accepted; so did a map to be staged, a commit to the own store and a change by the operator. Rows and the state of engines were read from whatever address such an answer named, and the operator's key went to another port of the same host.

Cause: http.Client follows redirects unless it is told not to. After 301 to 303 it turns a POST into a GET without a body, whose 200 then stood for the order; after 307 and 308 it sends the order itself to another process.

Change: limiter.Transport.NewClient builds the client of every HTTP interface and returns redirects as answers, which all callers handle as an unexpected status: an order has an unknown outcome, a read has failed. TestAnswersAreReadUnchecked rejects any other http.Client. Gateways and agents use no http.Client and never followed redirects.

--- a/internal/agent/driver/group.go
+++ b/internal/agent/driver/group.go
@@ -41,7 +41,7 @@
 // NewGroupDriver returns a GroupDriver for the engine at addr.
 func NewGroupDriver(addr netip.AddrPort) *GroupDriver {
 	transport := limiter.NewTransport(&http.Transport{DisableCompression: true}, "engine_call", maxEngineReplyBytes)
-	return &GroupDriver{addr: addr, client: &http.Client{Transport: transport}}
+	return &GroupDriver{addr: addr, client: transport.NewClient()}
 }
 
 // MemoryBody is the JSON form of follower.Memory. A request to stage a map carries
--- a/internal/agent/driver/malformed_test.go
+++ b/internal/agent/driver/malformed_test.go
@@ -1,6 +1,8 @@
 package driver
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 
@@ -50,3 +52,17 @@
 		})
 	}
 }
+
+// TestRedirectStagesMap guards against a map that counts as staged because the engine named
+// another address, which answered a request without the map.
+func TestRedirectStagesMap(t *testing.T) {
+	c := qt.New(t)
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == PathStage {
+			http.Redirect(w, r, PathMemory, http.StatusFound)
+		}
+	}))
+	c.Cleanup(ts.Close)
+	addr := netip.MustParseAddrPort(ts.Listener.Addr().String())
+	c.Assert(NewGroupDriver(addr).Stage(c.Context(), &planner.Map{Version: 3}), qt.ErrorMatches, ".*Found")
+}
--- a/internal/backend/limiter/transport.go
+++ b/internal/backend/limiter/transport.go
@@ -51,6 +51,13 @@
 	return t
 }
 
+// NewClient returns a client over t without a timeout. It returns redirects as answers. A client
+// that followed them would take the answer of another process, or to a GET, for that of the
+// process that got the request.
+func (t *Transport) NewClient() *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
 // RoundTrip implements http.RoundTripper. It returns ErrTooLarge for a head over its bound,
 // and so does reading the body. For a malformed head, it returns an error that wraps
 // validator.ErrMalformed.
--- a/internal/backend/limiter/transport_test.go
+++ b/internal/backend/limiter/transport_test.go
@@ -103,3 +103,26 @@
 		})
 	}
 }
+
+// TestRedirectIsFollowed guards against sending a request to an address that an answer names,
+// and taking that answer for the one of the process that was asked.
+func TestRedirectIsFollowed(t *testing.T) {
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect, http.StatusPermanentRedirect} {
+		c := qt.New(t)
+		var requests atomic.Int64
+		ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if requests.Add(1) == 1 {
+				w.Header().Set("Location", "/other")
+				w.WriteHeader(status)
+			}
+		}))
+		c.Cleanup(ts.Close)
+		transport := NewTransport(&http.Transport{}, "test", MaxAnswerBytes)
+		defer transport.CloseIdleConnections()
+		resp, err := transport.NewClient().Post(ts.URL, "text/plain", strings.NewReader("b"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Body.Close(), qt.IsNil)
+		c.Assert(resp.StatusCode, qt.Equals, status)
+		c.Assert(requests.Load(), qt.Equals, int64(1))
+	}
+}
--- a/internal/backend/validator/readers_test.go
+++ b/internal/backend/validator/readers_test.go
@@ -15,13 +15,13 @@
 // the same line makes them checked.
 var uncheckedReaders = []struct{ reader, allowed *regexp.Regexp }{
 	{regexp.MustCompile(`http\.(Default(Client|Transport)|Get|Head|Post|PostForm)\b`), regexp.MustCompile(`http\.Header`)},
-	{regexp.MustCompile(`http\.Client\{`), regexp.MustCompile(`Transport: transport\b`)},
+	{regexp.MustCompile(`http\.Client\{`), regexp.MustCompile(`http\.Client\{Transport: t, CheckRedirect: `)},
 	{regexp.MustCompile(`http\.Transport\{`), regexp.MustCompile(`(limiter\.N|\bn)ewTransport\(`)},
 	{regexp.MustCompile(`http\.ReadResponse\(`), regexp.MustCompile(`ReadResponse\(c\.Reader, req\)`)},
 }
 
 // TestAnswersAreReadUnchecked guards against a new reader of answers that takes what net/http
-// takes.
+// takes, or follows redirects.
 func TestAnswersAreReadUnchecked(t *testing.T) {
 	c := qt.New(t)
 	files := 0
--- a/internal/operator/caller/caller.go
+++ b/internal/operator/caller/caller.go
@@ -50,7 +50,9 @@
 // bearer key.
 func NewClient(addr netip.AddrPort, key string) *Client {
 	transport := limiter.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment}, "admin_call", limiter.MaxAnswerBytes)
-	return &Client{addr: addr, key: key, http: &http.Client{Timeout: callTimeout, Transport: transport}}
+	c := &Client{addr: addr, key: key, http: transport.NewClient()}
+	c.http.Timeout = callTimeout
+	return c
 }
 
 // Get requests path and decodes the JSON answer into out; a *[]byte receives the
--- a/internal/operator/caller/caller_test.go
+++ b/internal/operator/caller/caller_test.go
@@ -1,6 +1,10 @@
 package caller
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -46,3 +50,21 @@
 	c.Assert(NewClient(addr, "").Get(c.Context(), "/x", &data), qt.ErrorIs, limiter.ErrTooLarge)
 	c.Assert(f.Wait().Closed, qt.IsTrue)
 }
+
+// TestRedirectIsFollowed guards against a change that counts as accepted, and a key that is sent
+// to another listener, because an answer names its address.
+func TestRedirectIsFollowed(t *testing.T) {
+	c := qt.New(t)
+	requests := 0
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests++
+		_, _ = io.WriteString(w, "{}")
+	}))
+	c.Cleanup(other.Close)
+	ts := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusFound))
+	c.Cleanup(ts.Close)
+	addr := netip.MustParseAddrPort(ts.Listener.Addr().String())
+	err := NewClient(addr, "k1").Post(c.Context(), "/x", nil, &struct{}{})
+	c.Check(IsProblem(err), qt.IsTrue)
+	c.Check(requests, qt.Equals, 0)
+}
--- a/internal/store/storer/client.go
+++ b/internal/store/storer/client.go
@@ -33,10 +33,8 @@
 // NewClient returns a Client for the platform at addr.
 func NewClient(addr netip.AddrPort, opts ...Option) *Client {
 	transport := limiter.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64}, "platform_call", limiter.MaxAnswerBytes)
-	c := &Client{
-		base:   "http://" + addr.String(),
-		client: &http.Client{Timeout: 2 * time.Second, Transport: transport},
-	}
+	c := &Client{base: "http://" + addr.String(), client: transport.NewClient()}
+	c.client.Timeout = 2 * time.Second
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/internal/store/storer/client_test.go
+++ b/internal/store/storer/client_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -57,3 +59,17 @@
 		}
 	}
 }
+
+// TestRedirectCommits guards against a transaction that counts as committed because the store
+// named another address, which answered a request without it.
+func TestRedirectCommits(t *testing.T) {
+	c := qt.New(t)
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			http.Redirect(w, r, "/", http.StatusFound)
+		}
+	}))
+	c.Cleanup(ts.Close)
+	addr := netip.MustParseAddrPort(ts.Listener.Addr().String())
+	c.Assert(NewClient(addr, WithTimeout(time.Minute)).Commit(c.Context(), Txn{}), qt.ErrorMatches, ".*status 302")
+}
