Quarantiner: gateways that get no requests with a part may convict it

What callers saw: while gateways restarted, requests with a part of a prompt that crashes servers ended up to 10 of them, 4 or 5 later than 3 s after the fifth (3 allowed), and sound requests failed with each.

Cause: a gateway that gets no requests with the part left the verdict to those that do, as they know its share of the prompts better. When all gateways restart, those that do have seen two or three prompts, the part in one, and can't tell it from a common one: evidence 0 to 0.5 after four to nine crashes in a traced run, while others had 3.0, 3.9 and 6.2 and kept still.

Change: from four crashes on, a gateway that gets no such requests convicts with evidence 3, the same that is asked of two crashes. An answer to a request with the part frees it, as before.

Evidence: TestPartThatOnlyNewGatewaysGetIsBlocked failed before and passes.

--- a/internal/gateway/quarantiner/part.go
+++ b/internal/gateway/quarantiner/part.go
@@ -227,8 +227,9 @@
 			continue
 		}
 		explain(p.entry)
-		if s.arrivals.count(p.digest) == 0 {
-			// Gateways that get such requests know the share better, and tell this one.
+		if s.arrivals.count(p.digest) == 0 && (p.crashes < lateCrashes || evidence < minPartEvidence) {
+			// Gateways that get such requests know the share better, and tell this one, unless
+			// they have started lately.
 			continue
 		}
 		p.setConvicted(now)
--- a/internal/gateway/quarantiner/part_test.go
+++ b/internal/gateway/quarantiner/part_test.go
@@ -206,6 +206,31 @@
 	}
 }
 
+// TestPartThatOnlyNewGatewaysGetIsBlocked guards against waiting for the verdict of gateways
+// that get requests with a part but have started too lately to know its share.
+func TestPartThatOnlyNewGatewaysGetIsBlocked(t *testing.T) {
+	c := qt.New(t)
+	const sound, deadly = 7, 8
+	now := start
+	old := New(1)
+	for range 100 {
+		old.Admit(0, now, sound)
+		old.AddPartsServed([]uint64{sound}, server(99), now, now)
+	}
+	for i := range lateCrashes {
+		c.Assert(old.IsBlocked(0, now, deadly), qt.IsFalse, qt.Commentf("%d crashes", i))
+		started := New(uint64(2 + i))
+		exchange(old, started, now)
+		started.Admit(0, now, sound, deadly)
+		started.AddPartLosses([]uint64{sound, deadly}, server(i), now)
+		exchange(old, started, now)
+		now = now.Add(groupReturn)
+		old.AddPartsServed([]uint64{sound}, server(99), now, now)
+	}
+	c.Assert(old.IsBlocked(0, now, deadly), qt.IsTrue)
+	c.Assert(old.IsBlocked(0, now, sound), qt.IsFalse)
+}
+
 // TestSoundPartIsFreedByItsTrial guards against a part that stays blocked at some gateways
 // although a server has answered a request with it.
 func TestSoundPartIsFreedByItsTrial(t *testing.T) {
