Quarantiner: name the rule that leaves a verdict to other gateways

The condition in convict needed its comment read twice. isLeftToOthers has the same terms; no behaviour changes, and the package's tests pass as before.

--- a/internal/gateway/quarantiner/part.go
+++ b/internal/gateway/quarantiner/part.go
@@ -227,9 +227,7 @@
 			continue
 		}
 		explain(p.entry)
-		if s.arrivals.count(p.digest) == 0 && (p.crashes < lateCrashes || evidence < minPartEvidence) {
-			// Gateways that get such requests know the share better, and tell this one, unless
-			// they have started lately.
+		if s.isLeftToOthers(p, evidence) {
 			continue
 		}
 		p.setConvicted(now)
@@ -240,6 +238,13 @@
 	}
 }
 
+// isLeftToOthers reports whether gateways that get requests with the part convict it, which know
+// its share better and tell this one. From lateCrashes on they may all have started too lately
+// to know it.
+func (s *Set) isLeftToOthers(p suspect, evidence float64) bool {
+	return s.arrivals.count(p.digest) == 0 && (p.crashes < lateCrashes || evidence < minPartEvidence)
+}
+
 // acquit frees the parts that were convicted for some of the crashes of another one, which
 // explains them all.
 func (s *Set) acquit(p suspect, now time.Time) {
