Limiter: bytes that came before a request are not its answer

What callers saw: nothing in the gateways. Where a process in trouble sent bytes after an answer, agents, sidecars, both stores and the operator could take them for the answer to their next request: an order accepted, rows or an engine's state, a caller's answer. Their head was not checked either.

Cause: net/http closes an idle connection on which bytes come, but returns it to its pool before it looks for them. A request that gets it in between is answered by what is in the buffer. The validator let these bytes pass, as they came while no head was due.

Change: validator.Conn records whether a byte was read since the request got the connection, and limiter.Transport looks when the transport has the first byte of the answer. If none was read, the answer wraps ErrMalformed, is logged and counted as such, and the connection is rejected, for a request that has taken it since, too. Gateways were right: they check a connection before they use it again, and the request's ID in each answer.

Closing the connection without rejecting it, tried first, failed requests that had taken it with "use of closed network connection".

--- a/internal/backend/limiter/transport.go
+++ b/internal/backend/limiter/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -58,9 +59,12 @@
 	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
+// errUnsolicited is returned in place of an answer that came before its request.
+var errUnsolicited = fmt.Errorf("%w: it came before the request", validator.ErrMalformed)
+
 // RoundTrip implements http.RoundTripper. It returns ErrTooLarge for a head over its bound,
-// and so does reading the body. For a malformed head, it returns an error that wraps
-// validator.ErrMalformed.
+// and so does reading the body. For a malformed head, or
+// an answer that came before its request, it returns an error that wraps validator.ErrMalformed.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	src := Source{Server: req.URL.Host, Step: t.step}
 	if t.idHeader != "" {
@@ -68,15 +72,29 @@
 	}
 	// net/http may use another connection after a reused one broke.
 	var latest atomic.Pointer[validator.Conn]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*validator.Conn); ok {
-			latest.Store(conn)
-			// The transport finds an error when it reads.
-			_ = conn.ExpectHead(nil)
-		}
-	}}
+	// isUnsolicited is whether the answer was read before the request was sent. net/http
+	// closes a connection for such bytes, but not if a request takes it first.
+	var isUnsolicited atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*validator.Conn); ok {
+				latest.Store(conn)
+				// The transport finds an error when it reads.
+				_ = conn.ExpectHead(nil)
+			}
+		},
+		GotFirstResponseByte: func() {
+			if conn := latest.Load(); conn != nil {
+				isUnsolicited.Store(!conn.HasBegun())
+			}
+		},
+	}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err == nil {
+	switch {
+	case err == nil && isUnsolicited.Load():
+		ReportMalformed(src, errUnsolicited)
+		return nil, errors.Join(errUnsolicited, resp.Body.Close(), latest.Load().Reject(errUnsolicited))
+	case err == nil:
 		resp.Body = NewReader(resp.Body, t.maxBodyBytes, src)
 		return resp, nil
 	}
--- a/internal/backend/limiter/transport_test.go
+++ b/internal/backend/limiter/transport_test.go
@@ -1,11 +1,13 @@
 package limiter
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -104,6 +106,56 @@
 	}
 }
 
+// TestUnsolicitedAnswerIsReturned guards against bytes that a server sends after an answer, or
+// before it is asked, and that are taken for the answer to the next request.
+func TestUnsolicitedAnswerIsReturned(t *testing.T) {
+	late := strings.Replace(sound, "body", "late", 1)
+	for name, unsolicited := range map[string]string{
+		"malformed": mangler.Mangle(late)["space within a field name"], "with a body": late,
+		"without a body": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			addr := serveTwice(c, sound+unsolicited)
+			transport := NewTransport(&http.Transport{MaxIdleConnsPerHost: 8}, "test", MaxAnswerBytes)
+			defer transport.CloseIdleConnections()
+			var wg sync.WaitGroup
+			for range 8 {
+				wg.Go(func() {
+					for range 500 {
+						body, err := send(c, transport, addr)
+						if (err != nil || body != "body") && !errors.Is(err, validator.ErrMalformed) {
+							c.Errorf("body %q, error %v", body, err)
+							return
+						}
+					}
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
+
+// serveTwice answers each request with a text that holds two answers.
+func serveTwice(c *qt.C, text string) netip.AddrPort {
+	c.Helper()
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, rw, err := http.NewResponseController(w).Hijack()
+		c.Check(err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		for err == nil {
+			if _, err = io.WriteString(conn, text); err == nil {
+				r, err = http.ReadRequest(rw.Reader)
+			}
+			if err == nil {
+				_, err = io.Copy(io.Discard, r.Body)
+			}
+		}
+	}))
+	c.Cleanup(ts.Close)
+	return netip.MustParseAddrPort(ts.Listener.Addr().String())
+}
+
 // TestRedirectIsFollowed guards against sending a request to an address that an answer names,
 // and taking that answer for the one of the process that was asked.
 func TestRedirectIsFollowed(t *testing.T) {
--- a/internal/backend/validator/conn.go
+++ b/internal/backend/validator/conn.go
@@ -12,11 +12,13 @@
 	net.Conn
 	mu   sync.Mutex
 	head Head
-	// err is set once a byte was malformed. No byte is read after that: bufio.Reader.ReadLine
+	// err is set once a byte was malformed, or by Reject. No byte is read after that: bufio.Reader.ReadLine
 	// returns the bytes before an error as a line, and drops the error.
 	err error
 	// failed is whether the last read has returned an error.
 	failed bool
+	// begun is whether a byte has been read since the head is expected.
+	begun bool
 }
 
 // NewConn returns a Conn that does not yet expect a head.
@@ -32,10 +34,18 @@
 		c.head.Expect()
 		_, c.err = c.head.Check(read)
 	}
-	c.failed = c.err != nil
+	c.failed, c.begun = c.err != nil, len(read) > 0
 	return c.err
 }
 
+// HasBegun reports whether a byte has been read since the head is expected. If not, what a
+// reader with a buffer has of an answer came before its request.
+func (c *Conn) HasBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
 // Read implements io.Reader. It returns an error that wraps ErrMalformed after the last byte
 // before a malformed one.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -45,6 +55,11 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.begun = c.begun || n > 0
+	if c.err != nil {
+		// The connection was rejected meanwhile.
+		return 0, c.err
+	}
 	n, c.err = c.head.Check(p[:n])
 	if c.err != nil {
 		err = c.err
@@ -53,7 +68,16 @@
 	return n, err
 }
 
-// GetFault returns the error of the malformed byte, nil if there was none.
+// Reject closes the connection. Reads return err from then on.
+func (c *Conn) Reject(err error) error {
+	c.mu.Lock()
+	c.err = err
+	c.mu.Unlock()
+	return c.Close()
+}
+
+// GetFault returns the error of the malformed byte, or with which the connection was rejected,
+// nil if there is none.
 func (c *Conn) GetFault() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
