Limiter: bytes before a request are reported even if they are no HTTP

What operators saw: bytes that came before a request and that net/http could not parse ended the call with net/http's error alone: no line answer_malformed, no count, no ErrMalformed. Nothing in them was believed.

Cause: the check of where an answer began was made for parsed answers only.

Change: it is made for all. The comments around it are wrapped anew.

Evidence: the case without_a_version of TestUnsolicitedAnswerIsReturned failed before ("malformed HTTP version") and passed 3 of 3 runs with -race after, as did the other three.

--- a/internal/backend/limiter/transport.go
+++ b/internal/backend/limiter/transport.go
@@ -63,8 +63,8 @@
 var errUnsolicited = fmt.Errorf("%w: it came before the request", validator.ErrMalformed)
 
 // RoundTrip implements http.RoundTripper. It returns ErrTooLarge for a head over its bound,
-// and so does reading the body. For a malformed head, or
-// an answer that came before its request, it returns an error that wraps validator.ErrMalformed.
+// and so does reading the body. For a malformed head, or an answer that came before its request,
+// it returns an error that wraps validator.ErrMalformed.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	src := Source{Server: req.URL.Host, Step: t.step}
 	if t.idHeader != "" {
@@ -90,11 +90,14 @@
 		},
 	}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	switch {
-	case err == nil && isUnsolicited.Load():
+	if isUnsolicited.Load() {
 		ReportMalformed(src, errUnsolicited)
-		return nil, errors.Join(errUnsolicited, resp.Body.Close(), latest.Load().Reject(errUnsolicited))
-	case err == nil:
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		return nil, errors.Join(errUnsolicited, err, latest.Load().Reject(errUnsolicited))
+	}
+	if err == nil {
 		resp.Body = NewReader(resp.Body, t.maxBodyBytes, src)
 		return resp, nil
 	}
--- a/internal/backend/limiter/transport_test.go
+++ b/internal/backend/limiter/transport_test.go
@@ -111,7 +111,7 @@
 func TestUnsolicitedAnswerIsReturned(t *testing.T) {
 	late := strings.Replace(sound, "body", "late", 1)
 	for name, unsolicited := range map[string]string{
-		"malformed": mangler.Mangle(late)["space within a field name"], "with a body": late,
+		"malformed": mangler.Mangle(late)["space within a field name"], "without a version": "X" + late, "with a body": late,
 		"without a body": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/backend/validator/conn.go
+++ b/internal/backend/validator/conn.go
@@ -12,8 +12,8 @@
 	net.Conn
 	mu   sync.Mutex
 	head Head
-	// err is set once a byte was malformed, or by Reject. No byte is read after that: bufio.Reader.ReadLine
-	// returns the bytes before an error as a line, and drops the error.
+	// err is set once a byte was malformed, or by Reject. No byte is read after that:
+	// bufio.Reader.ReadLine returns the bytes before an error as a line, and drops the error.
 	err error
 	// failed is whether the last read has returned an error.
 	failed bool
