--- a/internal/backend/validator/head.go
+++ b/internal/backend/validator/head.go
@@ -1,6 +1,6 @@
 // Package validator checks the heads of answers by RFC 9112, sections 2 to 5. net/http is
 // lenient: it takes any three digits for a status, keeps field names with spaces, joins folded
-// lines, ends a head at a bare line feed, and skips a Transfer-Encoding in HTTP/1.0 and a
+// lines, ends a head at a bare line feed, and ignores a Transfer-Encoding in HTTP/1.0 and a
 // Content-Length beside one. Such a head has two readings, and with it the body that its fields
 // delimit.
 package validator
@@ -11,8 +11,8 @@
 	"fmt"
 )
 
-// ErrMalformed is returned for an answer whose head is no HTTP/1.x, or that switches to another
-// protocol, which no request here asks for.
+// ErrMalformed is returned for an answer whose head is no HTTP/1.x or delimits the body in two ways,
+// or that switches to another protocol, which no request here asks for.
 var ErrMalformed = errors.New("answer is malformed")
 
 // part is the part of a head that the next byte belongs to.
@@ -76,7 +76,7 @@
 	// minorVersion is the digit after "HTTP/1.".
 	minorVersion byte
 	status       int
-	// name holds the first bytes of the field name, and nameLength the length of all.
+	// name holds the first bytes of the current field name, and nameLength the length of all of it.
 	name       [len(encodingField)]byte
 	nameLength int
 	// hasLength and hasEncoding are set once the head has the field.
@@ -182,8 +182,8 @@
 }
 
 // isAmbiguous reports whether the fields delimit the body in two ways (RFC 9112, sections 6.1
-// and 6.3): HTTP/1.0 has no Transfer-Encoding, and a sender that adds a Content-Length to one may
-// have meant either.
+// and 6.3): HTTP/1.0 has no Transfer-Encoding, and a server that sends it with a Content-Length may
+// mean either.
 func (h *Head) isAmbiguous() bool {
 	return h.hasEncoding && (h.hasLength || h.minorVersion == '0')
 }
