--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -129,7 +129,11 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(req.Body)
+		// What is longer than this is read and not kept.
+		body, err := io.ReadAll(io.LimitReader(req.Body, 4096))
+		if err == nil {
+			_, err = io.Copy(io.Discard, req.Body)
+		}
 		if err != nil {
 			return
 		}
