--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,7 +18,7 @@
 	failed = 2
 )
 
-var cases = map[string]func(*site) (int, error){"poison": runPoison, "part": runPart, "crowd": runCrowd, "memory": runMemory, "quiet": runQuiet}
+var cases = map[string]func(*site) (int, error){"poison": runPoison, "part": runPart, "memory": runMemory, "quiet": runQuiet, "fields": runFields}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
