--- a/review/standin-3/poison.go
+++ b/review/standin-3/poison.go
@@ -57,15 +57,39 @@
 		return failed, errNotReady
 	}
 	time.Sleep(contact + time.Second)
-	n := 0
+	s.workTime = 100 * time.Millisecond
+	n, lost := 0, 0
+	order := func(id, body string) request {
+		return request{id: id, method: http.MethodPost, path: "/order/x", key: "key-of-hule930", body: body, deadline: 2500 * time.Millisecond}
+	}
+	phase := 0
 	sendFor := func(d time.Duration) {
-		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+		phase++
+		var wg sync.WaitGroup
+		end := time.Now().Add(d)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; time.Now().Before(end); i++ {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					id := fmt.Sprintf("sound-%d-%d", phase, i)
+					if res := s.send(s.gateways[i%len(s.gateways)], order(id, id)); res.status == http.StatusBadGateway {
+						rs.mu.Lock()
+						defer rs.mu.Unlock()
+						lost++
+					}
+				}()
+				time.Sleep(60 * time.Millisecond)
+			}
+		}()
+		for time.Now().Before(end) {
 			n++
-			g := s.gateways[n%len(s.gateways)]
-			s.send(g, request{id: fmt.Sprint("deadly-", n), method: http.MethodPost, path: "/order/x", key: "key-of-hule930", body: "deadly", deadline: 2500 * time.Millisecond})
-			q := request{id: fmt.Sprint("sound-", n), method: http.MethodPost, path: "/order/x", key: "key-of-hule930", body: fmt.Sprint("order ", n), deadline: 2500 * time.Millisecond}
-			s.send(s.gateways[(n+1)%len(s.gateways)], q)
+			s.send(s.gateways[n%len(s.gateways)], order(fmt.Sprint("deadly-", n), "deadly"))
+			time.Sleep(time.Second)
 		}
+		wg.Wait()
 	}
 	sendFor(20 * time.Second)
 	if killsAll {
@@ -102,8 +126,8 @@
 			late = append(late, id)
 		}
 	}
-	s.record("count", "", fmt.Sprintf("%d crashes; later than contact_ms after the third, the request has reached runners in %d retries, %d are allowed: %s",
-		len(rs.crashes), len(late), maxLateRetries, strings.Join(late, " ")))
+	s.record("count", "", fmt.Sprintf("%d crashes; later than contact_ms after the third, the request has reached runners in %d retries, %d are allowed: %s; %d sound orders were lost at the runners that crashed",
+		len(rs.crashes), len(late), maxLateRetries, strings.Join(late, " "), lost))
 	if len(late) > maxLateRetries {
 		return broken, nil
 	}
