--- a/review/standin-3/fields.go
+++ b/review/standin-3/fields.go
@@ -68,6 +68,9 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	s.record("count", "", fmt.Sprintf("%d of %d requests served, %d denied, %d are allowed", served, fieldRequests, denied, maxDenied))
+	if served+denied == 0 {
+		return failed, fmt.Errorf("no request was served or denied")
+	}
 	if denied > maxDenied {
 		return broken, nil
 	}
--- a/review/standin-3/memory.go
+++ b/review/standin-3/memory.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -58,6 +59,8 @@
 	secondEnds   time.Time
 	// most is the most that was sent in a second.
 	most int64
+	// served counts the large bodies that were answered with 200.
+	served atomic.Int64
 }
 
 func (l *pacer) write(c net.Conn, p []byte) error {
@@ -140,6 +143,9 @@
 	ordinary.Wait()
 	s.record("count", "", fmt.Sprintf("resident memory up to %d of %d MB; ended: %v; sent to the machine: %.1f Mbit/s on average, %.1f in the busiest second, of %d",
 		peak, machineMegabytes, ended, float64(l.sent)*8/1e6/time.Since(began).Seconds(), float64(l.most)*8/1e6, linkMbits))
+	if l.served.Load() == 0 && !ended {
+		return failed, fmt.Errorf("no large body was served")
+	}
 	if peak > machineMegabytes || ended {
 		return broken, nil
 	}
@@ -199,6 +205,9 @@
 		if resp, err = http.ReadResponse(bufio.NewReader(c), nil); err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
 			s.record("answered", id, resp.Status)
+			if resp.StatusCode == http.StatusOK {
+				l.served.Add(1)
+			}
 		}
 	}
 	if err != nil {
--- a/review/standin-3/part.go
+++ b/review/standin-3/part.go
@@ -124,8 +124,8 @@
 	if s.trouble && len(crashes) == 0 {
 		return failed, fmt.Errorf("no runner has crashed")
 	}
-	if before < 20 || after < 20 {
-		return held, nil
+	if before < 20 || begunBefore < before/2 || after < 20 {
+		return failed, fmt.Errorf("too few sound requests: %d of %d before, %d after", begunBefore, before, after)
 	}
 	if float64(begunAfter)/float64(after) < float64(begunBefore)/float64(before)/2 {
 		return broken, nil
--- a/review/standin-3/quiet.go
+++ b/review/standin-3/quiet.go
@@ -84,6 +84,9 @@
 		}
 	}
 	s.record("count", "", fmt.Sprintf("%d crashes; later than contact_ms after the fifth, %d requests with the part have reached runners, %d are allowed", len(crashes), late, maxLateWithPart))
+	if s.trouble && len(crashes) == 0 {
+		return failed, fmt.Errorf("no runner has crashed")
+	}
 	if late > maxLateWithPart {
 		return broken, nil
 	}
