review: scripts end all they started at a signal, and with 2

Played without the program, with one that ends at once, without the stand-ins, and with SIGTERM and SIGINT. Before this a missing program ended a script by a panic, and a signal with 143, with its folder left.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -51,7 +53,27 @@
 	}
 	s := &site{megabytes: 284, dir: dir, binary: binary, trouble: os.Getenv("TROUBLE") != "0", workTime: 20 * time.Millisecond, out: out, start: time.Now()}
 	defer s.stop()
-	code, err := cases[name](s)
+	type outcome struct {
+		code int
+		err  error
+	}
+	ended := make(chan outcome, 1)
+	go func() {
+		code, err := cases[name](s)
+		ended <- outcome{code, err}
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	var code int
+	select {
+	case o := <-ended:
+		code, err = o.code, o.err
+	case sig := <-signals:
+		err = fmt.Errorf("ended by %v", sig)
+	}
+	if err == nil && s.failure() != "" {
+		err = fmt.Errorf("a stand-in failed: %s", s.failure())
+	}
 	if err != nil {
 		s.record("error", "", err.Error())
 		fmt.Println("could not run:", err)
--- a/review/standin-3/quiet.go
+++ b/review/standin-3/quiet.go
@@ -84,8 +84,8 @@
 		}
 	}
 	s.record("count", "", fmt.Sprintf("%d crashes; later than contact_ms after the fifth, %d requests with the part have reached runners, %d are allowed", len(crashes), late, maxLateWithPart))
-	if s.trouble && len(crashes) == 0 {
-		return failed, fmt.Errorf("no runner has crashed")
+	if len(arrivals) == 0 || s.trouble && len(crashes) == 0 {
+		return failed, fmt.Errorf("%d requests with the part have reached runners, %d runners have crashed", len(arrivals), len(crashes))
 	}
 	if late > maxLateWithPart {
 		return broken, nil
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -89,6 +89,7 @@
 		r.site.store.put("servers", id, "")
 		if err := r.start(); err != nil {
 			r.site.record("error", id, err.Error())
+			r.site.fail(err.Error())
 			return
 		}
 		r.site.record("back", r.id(), "")
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,6 +46,7 @@
 	deadly func(*http.Request, string) bool
 	// arrived is told of each request that reaches a runner, nil for none.
 	arrived  func(*http.Request)
+	listMu   sync.Mutex
 	gateways []*process
 	sidecars []*process
 	runners  []*runner
@@ -52,8 +54,13 @@
 	opened   map[*group]chan struct{}
 	out      io.Writer
 	outMu    sync.Mutex
-	start    time.Time
-	hosts    int
+	// failed is the error of a stand-in. outMu guards it.
+	failed string
+	// runMu guards the starts of processes, and stopped.
+	runMu   sync.Mutex
+	stopped bool
+	start   time.Time
+	hosts   int
 }
 
 // process is one of the project's own programs.
@@ -174,11 +181,22 @@
 	if p.log, err = os.Create(strings.TrimSuffix(p.settings, ".yaml") + ".log"); err != nil {
 		return err
 	}
+	if err := s.run(p); err != nil {
+		_ = p.log.Close()
+		return err
+	}
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
 	*list = append(*list, p)
-	return s.run(p)
+	return nil
 }
 
 func (s *site) run(p *process) error {
+	s.runMu.Lock()
+	defer s.runMu.Unlock()
+	if s.stopped {
+		return errors.New("stopped")
+	}
 	cmd := exec.Command(s.binary, p.role, "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if s.oneProcessor && p.role == "gateway" {
@@ -237,8 +255,26 @@
 	return false
 }
 
-// stop ends all processes.
+// fail keeps an error of a stand-in, after which the case says nothing.
+func (s *site) fail(text string) {
+	s.outMu.Lock()
+	defer s.outMu.Unlock()
+	s.failed = text
+}
+
+func (s *site) failure() string {
+	s.outMu.Lock()
+	defer s.outMu.Unlock()
+	return s.failed
+}
+
+// stop ends all processes. None is started after it.
 func (s *site) stop() {
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
+	s.runMu.Lock()
+	defer s.runMu.Unlock()
+	s.stopped = true
 	for _, p := range append(append([]*process{}, s.gateways...), s.sidecars...) {
 		p.kill()
 		_ = p.log.Close()
