quarantiner: decide which part of prompts is deadly by the counts of all gateways

Cause: how rare a part is was known to each gateway from its own callers only. The gateway that got the deadly requests had seen both parts equally often and blocked the one further back in the prompt. The verdict held at all gateways, and nothing could correct it while no request with the part could be served.

Change: gateways tell each other in their exchanges how often suspected parts come to them, and verdicts are decided and reviewed with the counts of all. A part that is rarer, or explains more crashes, is blocked in place of the one that was blocked first. Blocked requests count as having come.

TestPartThatOnlyNewGatewaysGetIsBlocked plays gateways that are killed before their counts get out, as before; its exchanges carry losses only, under a name of their own, now that other exchanges carry counts, too.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -242,9 +242,7 @@
 			return err
 		}
 		now := time.Now()
-		g.mergeLosses(request, request.GetAddress(), now)
-		g.mergeZones(request, request.GetAddress(), now)
-		g.AddGateways([]string{request.GetAddress()})
+		g.applyRequest(request, now)
 		answer, err := g.answer(request, now)
 		if err != nil {
 			return err
@@ -258,6 +256,14 @@
 	}
 }
 
+// applyRequest merges the state in another gateway's request.
+func (g *Gossiper) applyRequest(request *encoder.GatewaySync, now time.Time) {
+	g.mergeArrivals(request.GetArrivals(), now)
+	g.mergeLosses(request, request.GetAddress(), now)
+	g.mergeZones(request, request.GetAddress(), now)
+	g.AddGateways([]string{request.GetAddress()})
+}
+
 // newSync returns a message with the versions of this gateway's state, without the state
 // itself.
 func (g *Gossiper) newSync(now time.Time) *encoder.GatewaySync {
@@ -274,6 +280,7 @@
 func (g *Gossiper) newRequest(last *encoder.GatewaySync, now time.Time) *encoder.GatewaySync {
 	m := g.newSync(now)
 	g.addLosses(m, last, now)
+	m.Arrivals = g.encodeArrivals(now)
 	m.ClosedZones = g.encodeZones(false)
 	return m
 }
--- a/internal/fleet/gossiper/loss.go
+++ b/internal/fleet/gossiper/loss.go
@@ -102,6 +102,36 @@
 	return records
 }
 
+// maxArrivals bounds the requests that a peer may count.
+const maxArrivals = 1 << 40
+
+// encodeArrivals returns how often the parts that may be the cause of crashes have come, nil if
+// there are none.
+func (g *Gossiper) encodeArrivals(now time.Time) *encoder.Arrivals {
+	a, ok := g.losses.GetArrivals(now)
+	if !ok {
+		return nil
+	}
+	m := &encoder.Arrivals{Observer: a.Observer, Requests: uint64(a.Requests)}
+	for digest, n := range a.Parts {
+		m.Parts = append(m.Parts, &encoder.PartArrivals{Digest: digest, Requests: uint64(n)})
+	}
+	return m
+}
+
+// mergeArrivals takes over which prompts have come to a peer. It goes before mergeLosses, which
+// decides by them.
+func (g *Gossiper) mergeArrivals(m *encoder.Arrivals, now time.Time) {
+	if m == nil {
+		return
+	}
+	a := quarantiner.Arrivals{Observer: m.GetObserver(), Requests: int(min(m.GetRequests(), maxArrivals)), Parts: make(map[uint64]int)}
+	for _, part := range m.GetParts() {
+		a.Parts[part.GetDigest()] = int(min(part.GetRequests(), maxArrivals))
+	}
+	g.losses.MergeArrivals(a, now)
+}
+
 // mergeLosses adds the lost servers that a peer knows.
 func (g *Gossiper) mergeLosses(m *encoder.GatewaySync, peer string, now time.Time) {
 	for _, learned := range g.losses.Merge(decodeLosses(m.GetLosses(), now), now) {
--- a/internal/gateway/quarantiner/part_test.go
+++ b/internal/gateway/quarantiner/part_test.go
@@ -220,10 +220,10 @@
 	for i := range lateCrashes {
 		c.Assert(old.IsBlocked(0, now, deadly), qt.IsFalse, qt.Commentf("%d crashes", i))
 		started := New(uint64(2 + i))
-		exchange(old, started, now)
+		exchangeLosses(old, started, now)
 		started.Admit(0, now, sound, deadly)
 		started.AddPartLosses([]uint64{sound, deadly}, server(i), now)
-		exchange(old, started, now)
+		exchangeLosses(old, started, now)
 		now = now.Add(groupReturn)
 		old.AddPartsServed([]uint64{sound}, server(99), now, now)
 	}
--- a/internal/gateway/quarantiner/quarantiner.go
+++ b/internal/gateway/quarantiner/quarantiner.go
@@ -58,6 +58,8 @@
 	updatedAt time.Time
 	// trial is the trial that this gateway has announced, nil if there is none.
 	trial *trial
+	// isRival is set for a part that was there in all crashes of a convicted one.
+	isRival bool
 }
 
 // Set holds the lost servers by request. Sets that exchange their contents converge: a
@@ -74,6 +76,13 @@
 	// requests with parts whose answers have got beyond their beginning.
 	arrivals partLog
 	answered uint64
+	// peerArrivals holds what other gateways have said of the prompts that came to them, by
+	// observer.
+	peerArrivals map[uint64]peerArrivals
+	// suspects are the parts that were there in enough crashes, at the latest review of the
+	// verdicts, at reviewedAt. Convicted ones and their rivals come first.
+	suspects   []uint64
+	reviewedAt time.Time
 	// suspectServers holds the latest loss of each server that parts are suspected of.
 	suspectServers map[Server]time.Time
 	fleet          fleet
@@ -92,7 +101,7 @@
 func New(observer uint64, opts ...Option) *Set {
 	s := &Set{
 		observer: observer, entries: make(map[uint64]*entry), served: newServedLog(), complete: true,
-		suspectServers: make(map[Server]time.Time),
+		suspectServers: make(map[Server]time.Time), peerArrivals: make(map[uint64]peerArrivals),
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/internal/gateway/quarantiner/quarantiner_test.go
+++ b/internal/gateway/quarantiner/quarantiner_test.go
@@ -16,10 +16,25 @@
 
 // exchange lets two sets learn from each other.
 func exchange(a, b *Set, now time.Time) {
+	report(a, b, now)
+	report(b, a, now)
+}
+
+// exchangeLosses is exchange between gateways of which one ends before it has said what came to
+// it.
+func exchangeLosses(a, b *Set, now time.Time) {
 	b.Merge(a.Export(now), now)
 	a.Merge(b.Export(now), now)
 }
 
+// report lets a set learn from another one.
+func report(from, to *Set, now time.Time) {
+	if arrivals, ok := from.GetArrivals(now); ok {
+		to.MergeArrivals(arrivals, now)
+	}
+	to.Merge(from.Export(now), now)
+}
+
 // newSets returns n sets that see each other as one fleet.
 func newSets(n int) []*Set {
 	sets := make([]*Set, n)
--- a/internal/gateway/quarantiner/trial.go
+++ b/internal/gateway/quarantiner/trial.go
@@ -74,6 +74,11 @@
 		s.arrivals.add(parts, now)
 	}
 	blocked := s.getBlocked(digest, parts, now)
+	if len(blocked) > 0 {
+		// This request may show that a blocked part is in other prompts, too.
+		s.reviewIfDue(now)
+		blocked = s.getBlocked(digest, parts, now)
+	}
 	switch len(blocked) {
 	case 0:
 		return Clear
