quarantiner: keep what blocks requests outside the gateways

Callers saw: a request that crashes servers was refused after three crashes, until all gateways were killed at one moment.

Cause: losses were in the memory of gateways only, and a gateway that started took the silence of others, which had started like itself, for the knowledge that there was nothing.

Change: losses that block a request or a part of prompts, and those of a request one crash before that, are kept in two places. Sidecars keep them, also while the store is away: both sides of the stream send a fingerprint, and the losses while the fingerprints differ. The archiver keeps them in a table of the store by conditional writes, which outlives the end of all machines. What frees a request is kept like what blocks it. A gateway that starts is complete once one that is complete has answered, or once it has read the archive and asked all sidecars, within 1.5 s of knowing the servers.

--- a/cmd/siskinfall/platform.go
+++ b/cmd/siskinfall/platform.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	store := platform.NewStore(cfg.Platform.Address)
-	return launcher.NewGateway(cfg, store, platform.Headers{}).Run(stop)
+	return launcher.NewGateway(cfg, store, store, platform.Headers{}).Run(stop)
 }
 
 type sidecarCmd struct{ settingsArg }
--- a/internal/fleet/gossiper/arrival_test.go
+++ b/internal/fleet/gossiper/arrival_test.go
@@ -17,12 +17,12 @@
 	"siskinfall/internal/wire/encoder"
 )
 
-// startMemoryGateways starts gateways that exchange messages in memory.
-func startMemoryGateways(ctx context.Context, wg *sync.WaitGroup, count int) []*Gossiper {
-	gateways := make([]*Gossiper, count)
+// startMemoryGateways starts gateways with some losses, which exchange messages in memory.
+func startMemoryGateways(ctx context.Context, wg *sync.WaitGroup, losses ...*quarantiner.Set) []*Gossiper {
+	gateways := make([]*Gossiper, len(losses))
 	for i := range gateways {
 		own := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 8, byte(i + 1)}), 80)
-		gateways[i] = New(own, nil, nil, holder.New(), lister.New(), quarantiner.New(uint64(i+1)), func(int, int) {})
+		gateways[i] = New(own, nil, nil, holder.New(), lister.New(), losses[i], func(int, int) {})
 	}
 	for i, g := range gateways {
 		for j, peer := range gateways {
@@ -56,7 +56,7 @@
 		c := qt.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
-		gateways := startMemoryGateways(ctx, &wg, 3)
+		gateways := startMemoryGateways(ctx, &wg, quarantiner.New(1), quarantiner.New(2), quarantiner.New(3))
 		const deadly, sound = 101, 102
 		for range 30 {
 			gateways[0].losses.Admit(0, time.Now(), 1)
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -272,7 +272,7 @@
 		Address: g.own.String(), GatewaysDigest: g.digest(g.liveGateways(now)), CatalogVersion: g.catalog.GetVersion(),
 		ServersEra: lastChange.Era, ServersRevision: lastChange.Revision,
 		CatalogAgeMillis:  uint64(min(g.catalog.GetAge(now), memberTTL).Milliseconds()),
-		LossesFingerprint: g.losses.Fingerprint(now),
+		LossesFingerprint: g.losses.Fingerprint(now), LossesComplete: g.losses.IsComplete(),
 	}
 }
 
--- a/internal/fleet/gossiper/loss.go
+++ b/internal/fleet/gossiper/loss.go
@@ -42,7 +42,7 @@
 	case last != nil && m.GetLossesFingerprint() == last.GetLossesFingerprint():
 	case theirs.IsValid():
 		m.LossesBuckets = g.losses.GetBuckets(now)
-		m.Losses = encodeLosses(g.losses.ExportDifferent(theirs, now), now)
+		m.Losses = quarantiner.EncodeRecords(g.losses.ExportDifferent(theirs, now), now)
 	case last == nil || g.takeLossTurn(now):
 		m.LossesBuckets = g.losses.GetBuckets(now)
 	}
@@ -56,9 +56,9 @@
 	case request.GetLossesFingerprint() == m.GetLossesFingerprint():
 	case theirs.IsValid():
 		m.LossesBuckets = g.losses.GetBuckets(now)
-		m.Losses = encodeLosses(g.losses.ExportDifferent(theirs, now), now)
+		m.Losses = quarantiner.EncodeRecords(g.losses.ExportDifferent(theirs, now), now)
 	case !request.GetComparesBuckets():
-		m.Losses = encodeLosses(g.losses.Export(now), now)
+		m.Losses = quarantiner.EncodeRecords(g.losses.Export(now), now)
 	}
 }
 
@@ -67,41 +67,6 @@
 	return len(answer.GetLossesBuckets()) > 0 && answer.GetLossesFingerprint() != g.losses.Fingerprint(now)
 }
 
-// maxAgeMillis bounds the age of a loss that a peer may report.
-const maxAgeMillis = uint64(24 * time.Hour / time.Millisecond)
-
-// encodeLosses encodes lost servers with their ages.
-func encodeLosses(records []quarantiner.Record, now time.Time) []*encoder.LostServers {
-	out := make([]*encoder.LostServers, 0, len(records))
-	for _, r := range records {
-		m := &encoder.LostServers{Digest: r.Digest, PartPosition: uint32(r.PartPosition)}
-		for _, l := range r.Losses {
-			m.Servers = append(m.Servers, &encoder.LostServer{
-				Observer: l.Observer, Number: l.Number, Server: l.Server.ID, ServerStartedMillis: l.Server.Started.UnixMilli(),
-				AgeMillis: uint64(max(now.Sub(l.At), 0).Milliseconds()), Explained: l.Explained, InGroup: l.InGroup, Convicted: l.Convicted,
-			})
-		}
-		out = append(out, m)
-	}
-	return out
-}
-
-func decodeLosses(list []*encoder.LostServers, now time.Time) []quarantiner.Record {
-	records := make([]quarantiner.Record, 0, len(list))
-	for _, m := range list {
-		r := quarantiner.Record{Digest: m.GetDigest(), PartPosition: int(m.GetPartPosition())}
-		for _, l := range m.GetServers() {
-			r.Losses = append(r.Losses, quarantiner.Loss{
-				LossID: quarantiner.LossID{Observer: l.GetObserver(), Number: l.GetNumber()},
-				Server: quarantiner.NewServer(l.GetServer(), time.UnixMilli(l.GetServerStartedMillis())),
-				At:     now.Add(-time.Duration(min(l.GetAgeMillis(), maxAgeMillis)) * time.Millisecond), Explained: l.GetExplained(), InGroup: l.GetInGroup(), Convicted: l.GetConvicted(),
-			})
-		}
-		records = append(records, r)
-	}
-	return records
-}
-
 // maxArrivals bounds the requests that a peer may count.
 const maxArrivals = 1 << 40
 
@@ -134,7 +99,7 @@
 
 // mergeLosses adds the lost servers that a peer knows.
 func (g *Gossiper) mergeLosses(m *encoder.GatewaySync, peer string, now time.Time) {
-	for _, learned := range g.losses.Merge(decodeLosses(m.GetLosses(), now), now) {
+	for _, learned := range g.losses.Merge(quarantiner.DecodeRecords(m.GetLosses(), now), now) {
 		for _, l := range learned.New {
 			log.Info("backend server lost at another gateway", "event", "crash_report", "peer", peer, "digest", learned.Digest, "server", l.Server.ID,
 				"observer", l.Observer, "age", now.Sub(l.At), "explained", l.Explained, "crashes", learned.Crashes)
--- a/internal/fleet/gossiper/poll.go
+++ b/internal/fleet/gossiper/poll.go
@@ -92,6 +92,9 @@
 		}
 		// Fingerprints are compared at once or not at all.
 		last.LossesBuckets = nil
+		if last.GetLossesComplete() && !g.losses.IsRecovered() {
+			g.losses.SetRecovered()
+		}
 		g.setTried(addr)
 		sleeper.Sleep(ctx, g.currentSyncInterval())
 	}
--- a/internal/fleet/subscriber/publisher.go
+++ b/internal/fleet/subscriber/publisher.go
@@ -15,6 +15,7 @@
 
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fault/wrapper"
+	"siskinfall/internal/gateway/quarantiner"
 	"siskinfall/internal/group/commander"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/connector"
@@ -56,6 +57,8 @@
 type Publisher struct {
 	engine Engine
 	addr   netip.AddrPort
+	// losses are kept for gateways that start when all of them have ended.
+	losses *quarantiner.Set
 	mu     sync.Mutex
 	// load is the latest reading; loadChanged is closed and replaced with each new one.
 	load        *encoder.EngineLoad
@@ -79,7 +82,9 @@
 
 // NewPublisher returns a Publisher for the engine at addr.
 func NewPublisher(engine Engine, addr netip.AddrPort) *Publisher {
-	return &Publisher{engine: engine, addr: addr, loadChanged: make(chan struct{}), gateways: make(map[string]time.Time)}
+	return &Publisher{
+		engine: engine, addr: addr, losses: quarantiner.New(0), loadChanged: make(chan struct{}), gateways: make(map[string]time.Time),
+	}
 }
 
 // GetEngineAddrs returns the addresses of all engines of the own service.
@@ -179,9 +184,10 @@
 func (p *Publisher) Serve(ctx context.Context, gateway string, s *connector.Stream) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	kept := newKeptFilter(p.losses)
 	go func() {
 		defer cancel()
-		p.receive(gateway, s)
+		p.receive(gateway, s, kept)
 	}()
 	var sent *encoder.EngineLoad
 	var sentAt time.Time
@@ -192,7 +198,9 @@
 			if err := s.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 				return wrapper.At("tell_load", gateway, err)
 			}
-			if err := s.Send(withGateways(load, gateways.take(load.GetGateways(), time.Now()))); err != nil {
+			m := withGateways(load, gateways.take(load.GetGateways(), time.Now()))
+			m.KeptFingerprint, m.KeptLosses = kept.take(time.Now())
+			if err := s.Send(m); err != nil {
 				return err
 			}
 			sent, sentAt = load, time.Now()
@@ -207,10 +215,7 @@
 
 // withGateways returns a copy of load with other gateways.
 func withGateways(load *encoder.EngineLoad, gateways []string) *encoder.EngineLoad {
-	m, ok := proto.Clone(load).(*encoder.EngineLoad)
-	if !ok {
-		return load
-	}
+	m := proto.CloneOf(load)
 	m.Gateways = gateways
 	return m
 }
@@ -229,7 +234,7 @@
 }
 
 // receive applies the updates of one gateway until the stream ends.
-func (p *Publisher) receive(gateway string, s *connector.Stream) {
+func (p *Publisher) receive(gateway string, s *connector.Stream, kept *keptFilter) {
 	for {
 		if err := s.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
 			return
@@ -239,6 +244,7 @@
 			log.Info("connection to gateway lost", "event", "peer_lost", "peer", gateway, "error", err)
 			return
 		}
+		kept.merge(update.GetKeptFingerprint(), update.GetKeptLosses(), gateway, time.Now())
 		p.applyUpdate(update, time.Now())
 	}
 }
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -13,6 +13,7 @@
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/fleet/lister"
 	"siskinfall/internal/gateway/placer"
+	"siskinfall/internal/gateway/quarantiner"
 	"siskinfall/internal/process/sleeper"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
@@ -30,25 +31,35 @@
 	pool    *connector.Pool
 	catalog *holder.Holder
 	placer  *placer.Placer
+	losses  *quarantiner.Set
 	// onGateways receives the addresses of gateways that a sidecar reports.
 	onGateways func([]string)
 	// isTeller reports whether this gateway tells a sidecar of its service's engines.
 	isTeller func(sidecar netip.AddrPort) bool
 	mu       sync.Mutex
-	// servers is the latest list. followed holds the cancel functions of the goroutines, by
+	// servers is the latest list, which isListed says is known. followed holds the goroutines, by
 	// the address of the engine.
 	servers  []lister.Server
-	followed map[netip.AddrPort]context.CancelFunc
+	isListed bool
+	followed map[netip.AddrPort]*followed
+}
+
+// followed is an engine whose sidecar has a stream.
+type followed struct {
+	cancel context.CancelFunc
+	// isAsked is set once the sidecar has sent what it keeps, or an attempt to reach it has
+	// failed.
+	isAsked bool
 }
 
 // New returns a Subscriber. own is the address of this gateway's listener for peers, and
 // port the port on which every sidecar listens. onGateways receives the addresses of
 // gateways that a sidecar reports. isTeller reports whether this gateway tells a sidecar of
 // its service's engines, which some of the gateways do.
-func New(own netip.AddrPort, port uint16, pool *connector.Pool, catalog *holder.Holder, p *placer.Placer, onGateways func([]string), isTeller func(netip.AddrPort) bool) *Subscriber {
+func New(own netip.AddrPort, port uint16, pool *connector.Pool, catalog *holder.Holder, p *placer.Placer, losses *quarantiner.Set, onGateways func([]string), isTeller func(netip.AddrPort) bool) *Subscriber {
 	return &Subscriber{
-		own: own, port: port, pool: pool, catalog: catalog, placer: p, onGateways: onGateways, isTeller: isTeller,
-		followed: make(map[netip.AddrPort]context.CancelFunc),
+		own: own, port: port, pool: pool, catalog: catalog, placer: p, losses: losses, onGateways: onGateways, isTeller: isTeller,
+		followed: make(map[netip.AddrPort]*followed),
 	}
 }
 
@@ -56,7 +67,39 @@
 func (s *Subscriber) SetServers(all []lister.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.servers = all
+	s.servers, s.isListed = all, true
+}
+
+// IsAsked reports whether all sidecars have sent the losses that they keep, or could not be
+// reached.
+func (s *Subscriber) IsAsked() bool {
+	c := s.catalog.Get()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c == nil || !s.isListed {
+		return false
+	}
+	for _, srv := range s.servers {
+		f := s.followed[srv.Addr]
+		if isEngine(c, srv) && (f == nil || !f.isAsked) {
+			return false
+		}
+	}
+	return true
+}
+
+// setAsked records that a sidecar has sent what it keeps, or that this has failed.
+func (s *Subscriber) setAsked(engine netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f := s.followed[engine]; f != nil {
+		f.isAsked = true
+	}
+}
+
+func isEngine(c *holder.Catalog, srv lister.Server) bool {
+	service := c.GetService(srv.Service)
+	return service != nil && service.Engine != nil
 }
 
 // Run keeps a stream to the sidecar of each engine until ctx ends.
@@ -79,7 +122,7 @@
 	defer s.mu.Unlock()
 	present := make(map[netip.AddrPort]bool)
 	for _, srv := range s.servers {
-		if service := c.GetService(srv.Service); service == nil || service.Engine == nil {
+		if !isEngine(c, srv) {
 			continue
 		}
 		present[srv.Addr] = true
@@ -87,12 +130,12 @@
 			continue
 		}
 		followCtx, cancel := context.WithCancel(ctx)
-		s.followed[srv.Addr] = cancel
+		s.followed[srv.Addr] = &followed{cancel: cancel}
 		wg.Go(func() { s.follow(followCtx, srv.Addr, srv.Service) })
 	}
-	for addr, cancel := range s.followed {
+	for addr, f := range s.followed {
 		if !present[addr] {
-			cancel()
+			f.cancel()
 			delete(s.followed, addr)
 		}
 	}
@@ -107,6 +150,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		s.setAsked(engine)
 		if !unreachable {
 			log.Info("connection to sidecar lost", "event", "peer_lost", "peer", sidecar, "error", err)
 			unreachable = true
@@ -124,7 +168,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	context.AfterFunc(ctx, func() { _ = st.Close() })
-	go s.sendUpdates(ctx, st, sidecar, service)
+	kept := newKeptFilter(s.losses)
+	go s.sendUpdates(ctx, st, sidecar, service, kept)
 	for {
 		if err := st.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
 			return err
@@ -137,6 +182,8 @@
 			log.Info("connected to sidecar", "event", "peer_regained", "peer", sidecar)
 			*unreachable = false
 		}
+		kept.merge(load.GetKeptFingerprint(), load.GetKeptLosses(), sidecar.String(), time.Now())
+		s.setAsked(engine)
 		s.applyLoad(load, engine, time.Now())
 	}
 }
@@ -150,20 +197,29 @@
 	s.onGateways(load.GetGateways())
 }
 
-// sendUpdates sends updates to a sidecar until ctx ends or a send fails.
-func (s *Subscriber) sendUpdates(ctx context.Context, st *connector.Stream, sidecar netip.AddrPort, service string) {
+// sendUpdates sends updates to a sidecar until ctx ends or a send fails, at once if the kept
+// losses change.
+func (s *Subscriber) sendUpdates(ctx context.Context, st *connector.Stream, sidecar netip.AddrPort, service string, kept *keptFilter) {
 	engineFilter := changeFilter{}
 	for ctx.Err() == nil {
+		keptChanged := s.losses.GetKeptChanged()
 		update, err := s.nextUpdate(sidecar, service, &engineFilter, time.Now())
 		if err != nil {
 			log.Error("failed to encode update for sidecar", "event", "bad_news", "error", err)
 			return
 		}
+		if s.isTeller(sidecar) {
+			update.KeptFingerprint, update.KeptLosses = kept.take(time.Now())
+		} else {
+			update.KeptFingerprint = s.losses.GetKeptFingerprint(time.Now())
+		}
 		if st.SetWriteDeadline(time.Now().Add(sendTimeout)) != nil || st.Send(update) != nil {
 			_ = st.Close()
 			return
 		}
-		sleeper.Sleep(ctx, updateInterval)
+		if sleeper.SleepOrWake(ctx, updateInterval, keptChanged) {
+			sleeper.Sleep(ctx, keptBatchInterval)
+		}
 	}
 }
 
--- a/internal/gateway/quarantiner/conviction.go
+++ b/internal/gateway/quarantiner/conviction.go
@@ -182,7 +182,7 @@
 		}
 		explain(p)
 		if !p.isLeftToOthers(evidence) {
-			p.convict(evidence, now)
+			s.block(p, evidence, now)
 		}
 	}
 	s.reviewVerdicts(suspects, now)
@@ -202,7 +202,7 @@
 	for _, p := range suspects {
 		for _, rival := range suspects {
 			if p.isConvicted && rival != p && rival.servers.includes(p.servers) && s.isLikelier(rival, p, now) {
-				p.acquit(rival, now)
+				s.acquit(p, rival, now)
 			}
 		}
 	}
@@ -223,7 +223,7 @@
 		return false
 	}
 	if !rival.isConvicted {
-		rival.convict(evidence, now)
+		s.block(rival, evidence, now)
 	}
 	return true
 }
@@ -244,21 +244,25 @@
 	}
 }
 
-func (p *suspect) convict(evidence float64, now time.Time) {
+// block convicts a part.
+func (s *Set) block(p *suspect, evidence float64, now time.Time) {
 	p.isConvicted = true
 	for _, l := range p.losses {
 		l.Convicted = l.Convicted || l.counts(now) && l.Server != Server{}
 	}
 	p.updatedAt = now
+	s.noteChange(p.entry, now)
 	culpritParts.Inc()
 	log.Warn("part of prompts crashes backend servers and is blocked", "event", "culprit", "digest", p.digest, "crashes", p.crashes,
 		"evidence", evidence, "position", p.position, "arrivals", p.arrivals, "requests", p.requests)
 }
 
-func (p *suspect) acquit(rival *suspect, now time.Time) {
+// acquit ends the conviction of a part for crashes of which a rival is the cause.
+func (s *Set) acquit(p, rival *suspect, now time.Time) {
 	p.isConvicted = false
 	p.trial = nil
 	p.explain(now)
+	s.noteChange(p.entry, now)
 	acquittedParts.Inc()
 	log.Info("part of prompts is no longer blocked: another one explains its crashes", "event", "explained", "digest", p.digest, "crashes", p.crashes,
 		"position", p.position, "arrivals", p.arrivals, "requests", p.requests, "culprit", rival.digest, "culprit_crashes", rival.crashes,
--- a/internal/gateway/quarantiner/exchange.go
+++ b/internal/gateway/quarantiner/exchange.go
@@ -109,17 +109,22 @@
 	})
 	records := make([]Record, 0, min(len(digests), maxRecords))
 	for _, digest := range digests[:min(len(digests), maxRecords)] {
-		r := Record{Digest: digest, PartPosition: s.entries[digest].position}
-		for _, l := range s.entries[digest].losses {
-			if now.Sub(l.At) <= crashTTL {
-				r.Losses = append(r.Losses, *l)
-			}
-		}
-		records = append(records, r)
+		records = append(records, s.entries[digest].export(digest, now))
 	}
 	return records
 }
 
+// export returns the losses that count or are explained.
+func (e *entry) export(digest uint64, now time.Time) Record {
+	r := Record{Digest: digest, PartPosition: e.position}
+	for _, l := range e.losses {
+		if now.Sub(l.At) <= crashTTL {
+			r.Losses = append(r.Losses, *l)
+		}
+	}
+	return r
+}
+
 func (l *Loss) hash(digest uint64) uint64 {
 	b := make([]byte, 0, 26)
 	for _, n := range []uint64{digest, l.Observer, l.Number} {
@@ -174,8 +179,11 @@
 	l.Explained = l.Explained || s.isInnocent(r, l.At, now)
 	if e := s.entries[r.Digest]; e != nil && e.losses[l.LossID] != nil {
 		known := e.losses[l.LossID]
-		known.Explained = known.Explained || l.Explained
-		known.Convicted = known.Convicted || l.Convicted
+		if l.Explained && !known.Explained || l.Convicted && !known.Convicted {
+			known.Explained = known.Explained || l.Explained
+			known.Convicted = known.Convicted || l.Convicted
+			s.noteChange(e, now)
+		}
 		if l.At.Before(known.At) {
 			known.At = l.At
 		}
--- a/internal/gateway/quarantiner/part.go
+++ b/internal/gateway/quarantiner/part.go
@@ -55,24 +55,26 @@
 		if e := s.entries[part]; e != nil {
 			e.trial = nil
 			if e.explain(now) > 0 {
+				s.noteChange(e, now)
 				log.Info("part of prompts was served and does not crash servers", "event", "explained", "digest", part)
 			}
 		}
 	}
-	s.explainSurvivor(server, sentAt)
+	s.explainSurvivor(server, sentAt, now)
 }
 
 // explainSurvivor ends the suspicions that came from a loss of a server that has answered a
 // later request.
-func (s *Set) explainSurvivor(server Server, sentAt time.Time) {
+func (s *Set) explainSurvivor(server Server, sentAt, now time.Time) {
 	if at, ok := s.suspectServers[server]; !ok || !at.Before(sentAt) {
 		return
 	}
 	delete(s.suspectServers, server)
 	for _, e := range s.entries {
 		for _, l := range e.losses {
-			if e.position > 0 && l.Server == server && l.At.Before(sentAt) {
+			if e.position > 0 && l.Server == server && l.At.Before(sentAt) && !l.Explained {
 				l.Explained = true
+				s.noteChange(e, now)
 			}
 		}
 	}
--- a/internal/gateway/quarantiner/quarantiner.go
+++ b/internal/gateway/quarantiner/quarantiner.go
@@ -58,6 +58,8 @@
 	updatedAt time.Time
 	// trial is the trial that this gateway has announced, nil if there is none.
 	trial *trial
+	// isKept is set once the losses must outlive all gateways, and never unset.
+	isKept bool
 	// isRival is set for a part that was there in all crashes of a convicted one.
 	isRival bool
 }
@@ -86,22 +88,29 @@
 	// suspectServers holds the latest loss of each server that parts are suspected of.
 	suspectServers map[Server]time.Time
 	fleet          fleet
-	// complete is set once the set has the losses that other gateways knew at the start.
-	complete bool
+	// complete is set once all reachable gateways were asked for their losses at the start, and
+	// recovered once a complete one has answered, or what was kept outside them is known.
+	complete, recovered bool
+	// keptChanged is closed and replaced with each change of the kept losses. keptFingerprint
+	// is their hash at keptAt, zero after a change.
+	keptChanged     chan struct{}
+	keptFingerprint uint64
+	keptAt          time.Time
 }
 
 // Option configures a Set.
 type Option func(*Set)
 
-// WithPeers makes the set incomplete until SetComplete is called.
-func WithPeers() Option { return func(s *Set) { s.complete = false } }
+// WithPeers makes the set incomplete until SetComplete and SetRecovered are called.
+func WithPeers() Option { return func(s *Set) { s.complete, s.recovered = false, false } }
 
 // New returns an empty Set. The observer identifies the process among all gateways and
 // their earlier incarnations.
 func New(observer uint64, opts ...Option) *Set {
 	s := &Set{
-		observer: observer, entries: make(map[uint64]*entry), served: newServedLog(), complete: true,
+		observer: observer, entries: make(map[uint64]*entry), served: newServedLog(), complete: true, recovered: true,
 		suspectServers: make(map[Server]time.Time), peerArrivals: make(map[uint64]peerArrivals),
+		keptChanged: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -116,12 +125,27 @@
 	s.complete = true
 }
 
-// IsComplete reports whether the set has the losses that other gateways knew when this one
-// started. Before that, a request that they block may look harmless.
+// SetRecovered says that the set has the losses that were known before this gateway started:
+// from a gateway whose set is complete, or from where they are kept outside the gateways.
+func (s *Set) SetRecovered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recovered = true
+}
+
+// IsRecovered reports whether SetRecovered was called.
+func (s *Set) IsRecovered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recovered
+}
+
+// IsComplete reports whether the set has the losses that were known when this gateway started.
+// Before that, a request that is blocked may look harmless.
 func (s *Set) IsComplete() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.complete
+	return s.complete && s.recovered
 }
 
 // LossOption describes a loss.
@@ -174,7 +198,11 @@
 		return 0
 	}
 	e.trial = nil
-	return e.explain(now)
+	n := e.explain(now)
+	if n > 0 {
+		s.noteChange(e, now)
+	}
+	return n
 }
 
 // IsBlocked reports whether a request is blocked, itself or by a part of its prompt, and must
@@ -243,6 +271,7 @@
 	if len(e.losses) > maxLosses {
 		e.evictOldest()
 	}
+	s.noteChange(e, now)
 	return &l
 }
 
--- a/internal/gateway/quarantiner/trial.go
+++ b/internal/gateway/quarantiner/trial.go
@@ -90,7 +90,11 @@
 	e := s.entries[blocked[0]]
 	switch {
 	case e.trial != nil:
-		return e.admitTrial(now)
+		verdict := e.admitTrial(now)
+		if e.trial == nil {
+			s.noteChange(e, now)
+		}
+		return verdict
 	case s.isTrialDue(blocked[0], e, e.countTrials(now), now):
 		e.trial = &trial{loss: s.addOwn(blocked[0], Server{}, now)}
 	}
@@ -159,6 +163,9 @@
 	}
 	if !wasSent {
 		e.retractTrial()
+		if e.isKept {
+			s.announceKept()
+		}
 	}
 	// What became of a server that got the request may be unknown: the announcement counts.
 	e.trial = nil
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -18,6 +18,7 @@
 	"siskinfall/internal/backend/dialer"
 	"siskinfall/internal/catalog/holder"
 	"siskinfall/internal/check/asserter"
+	"siskinfall/internal/fleet/archiver"
 	"siskinfall/internal/fleet/gossiper"
 	"siskinfall/internal/fleet/lister"
 	"siskinfall/internal/fleet/subscriber"
@@ -67,6 +68,11 @@
 	// secondAttemptsShare is the share of the retries of all gateways that second attempts may
 	// take.
 	secondAttemptsShare = 0.5
+	// recoveryTimeout bounds the wait for losses that are kept outside the gateways, from when the
+	// servers are known. It exceeds the dial of a sidecar that answers. recoveryInterval is the
+	// pause between two looks for them.
+	recoveryTimeout  = 1500 * time.Millisecond
+	recoveryInterval = 50 * time.Millisecond
 	// cleanupInterval is the time between two removals of lapsed servers and idle
 	// connections.
 	cleanupInterval = 500 * time.Millisecond
@@ -88,15 +94,16 @@
 	quarantine  *quarantiner.Set
 	hello       *encoder.Hello
 	subscriber  *subscriber.Subscriber
+	archiver    *archiver.Archiver
 	// stopping is set when the process is asked to stop.
 	stopping atomic.Bool
 	// inFlight counts the requests of callers that are in progress.
 	inFlight atomic.Int64
 }
 
-// NewGateway returns a Gateway that reads the catalog and the servers from source
-// and uses codec for the platform's headers.
-func NewGateway(cfg *loader.Settings, source watcher.Source, codec forwarder.Codec) *Gateway {
+// NewGateway returns a Gateway that reads the catalog and the servers from source, archives
+// losses in archive, and uses codec for the platform's headers.
+func NewGateway(cfg *loader.Settings, source watcher.Source, archive archiver.Table, codec forwarder.Codec) *Gateway {
 	peersAddr := cfg.Listen.Peers
 	if cfg.Gateway.AdvertisePeers.IsValid() {
 		peersAddr = cfg.Gateway.AdvertisePeers
@@ -133,10 +140,12 @@
 	}, gossiper.WithStoreState(g.watcher.IsUpToDate), gossiper.WithZones(g.zones), gossiper.WithSharers(func(others []netip.AddrPort, isHeard bool) {
 		shares.SetGateways(others, isHeard, time.Now())
 	}))
-	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
+	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.quarantine, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
 		return g.gossiper.IsAmongFirst(tellersPerSidecar, sidecar.String(), time.Now())
 	})
 	g.servers.OnChange(g.subscriber.SetServers)
+	g.archiver = archiver.New(archive, g.quarantine, g.watchesStore)
+	g.servers.OnEra(g.archiver.SetEra)
 	return g
 }
 
@@ -207,7 +216,7 @@
 	if err := ls.serveMetrics(ctx, &wg, g.cfg.Listen.Metrics); err != nil {
 		return err
 	}
-	runAll(ctx, &wg, g.watcher.RunCatalog, g.watcher.RunServers, tuner.Run, g.cleanUp, logReloads(RoleGateway), g.subscriber.Run, g.gossiper.Run)
+	runAll(ctx, &wg, g.watcher.RunCatalog, g.watcher.RunServers, tuner.Run, g.cleanUp, logReloads(RoleGateway), g.subscriber.Run, g.gossiper.Run, g.archiver.Run, g.recoverLosses)
 	wg.Go(func() {
 		_ = connector.NewAcceptor(g.hello, g.handle, newSessionBounds(g.cfg.Gateway.Descriptors)).Serve(ctx, peers)
 	})
@@ -299,6 +308,26 @@
 	return mux
 }
 
+// recoverLosses waits for the losses that were known before this gateway started: from another
+// gateway that knows them, or else from the archive and the sidecars.
+func (g *Gateway) recoverLosses(ctx context.Context) {
+	var known time.Time
+	for ; ctx.Err() == nil && !g.quarantine.IsRecovered(); sleeper.Sleep(ctx, recoveryInterval) {
+		if g.catalog.Get() == nil || g.servers.GetPosition() == (lister.Position{}) {
+			continue
+		}
+		now := time.Now()
+		if known.IsZero() {
+			known = now
+		}
+		isRead, isAsked := g.archiver.IsRead(), g.subscriber.IsAsked()
+		if isRead && isAsked || now.Sub(known) > recoveryTimeout {
+			log.Info("kept losses recovered", "event", "kept", "archive_read", isRead, "sidecars_asked", isAsked)
+			g.quarantine.SetRecovered()
+		}
+	}
+}
+
 // cleanUp removes lapsed servers whose grace period in lister has ended. It closes
 // connections that have been idle for too long or whose server is no longer in use.
 func (g *Gateway) cleanUp(ctx context.Context) {
--- a/internal/process/sleeper/sleeper.go
+++ b/internal/process/sleeper/sleeper.go
@@ -7,14 +7,21 @@
 )
 
 // Sleep waits until d has passed or ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
+func Sleep(ctx context.Context, d time.Duration) { SleepOrWake(ctx, d, nil) }
+
+// SleepOrWake waits until d has passed, wake is closed or ctx ends. It reports whether wake has
+// ended the wait.
+func SleepOrWake(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	if d <= 0 {
-		return
+		return false
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
 	case <-ctx.Done():
+	case <-wake:
+		return true
 	}
+	return false
 }
