subscriber: leave changes of kept losses to the gateways' own exchange

Cause: a sidecar that learned of a change sent it at once on the streams of all gateways that had not said yet that they know it, and a gateway sent its new fingerprint to all sidecars at once. Gateways tell each other within 1.2 s, so with 99 gateways and 129 sidecars nearly all of 12,771 messages said nothing new (worked out from the code).

Change: a sidecar sends the losses in its first message, and later only after the fingerprints have differed for 2 s. A gateway that does not tell a sidecar says its fingerprint with the next update.

--- a/internal/fleet/subscriber/keep_test.go
+++ b/internal/fleet/subscriber/keep_test.go
@@ -18,7 +18,7 @@
 type keptLink struct{ gateway, sidecar *keptFilter }
 
 func newKeptLink(gateway, sidecar *quarantiner.Set) *keptLink {
-	return &keptLink{newKeptFilter(gateway), newKeptFilter(sidecar)}
+	return &keptLink{newKeptFilter(gateway, 0), newKeptFilter(sidecar, keptGrace)}
 }
 
 // exchange sends one message each way, and returns the numbers of records in them.
@@ -92,6 +92,37 @@
 	c.Assert(toSidecar, qt.Equals, 2)
 }
 
+// TestSidecarLeavesChangesToGateways guards against losses that each sidecar of a large fleet
+// sends to each gateway, which the gateways tell each other.
+func TestSidecarLeavesChangesToGateways(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	teller, other, sidecar := quarantiner.New(1), quarantiner.New(2), quarantiner.New(0)
+	first, second := newKeptLink(teller, sidecar), newKeptLink(other, sidecar)
+	first.exchange(c, now)
+	second.exchange(c, now)
+	block(teller, 7, now)
+	toSidecar, _ := first.exchange(c, now)
+	c.Assert(toSidecar, qt.Equals, 1)
+	_, toOther := second.exchange(c, now)
+	c.Assert(toOther, qt.Equals, 0)
+	now = now.Add(time.Second)
+	other.Merge(teller.Export(now), now)
+	for range 10 {
+		now = now.Add(time.Second)
+		_, toOther := second.exchange(c, now)
+		c.Assert(toOther, qt.Equals, 0)
+	}
+	// A gateway that others can't tell hears it from the sidecar.
+	block(teller, 8, now)
+	first.exchange(c, now)
+	for range 4 {
+		now = now.Add(time.Second)
+		second.exchange(c, now)
+	}
+	c.Assert(other.IsBlocked(8, now), qt.IsTrue)
+}
+
 // TestAllSidecarsAreAsked guards against a gateway that serves before a sidecar has said what it
 // keeps, and against one that waits for a sidecar that can't be reached.
 func TestAllSidecarsAreAsked(t *testing.T) {
--- a/internal/fleet/subscriber/publisher.go
+++ b/internal/fleet/subscriber/publisher.go
@@ -184,7 +184,7 @@
 func (p *Publisher) Serve(ctx context.Context, gateway string, s *connector.Stream) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	kept := newKeptFilter(p.losses)
+	kept := newKeptFilter(p.losses, keptGrace)
 	go func() {
 		defer cancel()
 		p.receive(gateway, s, kept)
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -168,7 +168,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	context.AfterFunc(ctx, func() { _ = st.Close() })
-	kept := newKeptFilter(s.losses)
+	kept := newKeptFilter(s.losses, 0)
 	go s.sendUpdates(ctx, st, sidecar, service, kept)
 	for {
 		if err := st.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
@@ -197,12 +197,15 @@
 	s.onGateways(load.GetGateways())
 }
 
-// sendUpdates sends updates to a sidecar until ctx ends or a send fails, at once if the kept
-// losses change.
+// sendUpdates sends updates to a sidecar until ctx ends or a send fails. A gateway that tells the
+// sidecar does so at once if the kept losses change.
 func (s *Subscriber) sendUpdates(ctx context.Context, st *connector.Stream, sidecar netip.AddrPort, service string, kept *keptFilter) {
 	engineFilter := changeFilter{}
 	for ctx.Err() == nil {
-		keptChanged := s.losses.GetKeptChanged()
+		var keptChanged <-chan struct{}
+		if s.isTeller(sidecar) {
+			keptChanged = s.losses.GetKeptChanged()
+		}
 		update, err := s.nextUpdate(sidecar, service, &engineFilter, time.Now())
 		if err != nil {
 			log.Error("failed to encode update for sidecar", "event", "bad_news", "error", err)
