quarantiner: keep the parts that may be to blame in place of a blocked one

Callers would have seen: a sound part of prompts that a gateway had blocked in place of the deadly one stayed blocked after all gateways had ended, until a trial half a minute later.

Cause: only the losses of the blocked part were kept. A verdict is reviewed by comparing it with the parts that were there in the same crashes; those were forgotten, and no request with them reached a server any more.

Change: such parts are kept like the blocked one.

Evidence: TestWrongVerdictIsReviewedAfterTheEndOfAllGateways failed with the deadly part first, and passes for all three places.

--- a/internal/gateway/quarantiner/conviction.go
+++ b/internal/gateway/quarantiner/conviction.go
@@ -186,7 +186,7 @@
 		}
 	}
 	s.reviewVerdicts(suspects, now)
-	s.keepSuspects(suspects)
+	s.keepSuspects(suspects, now)
 }
 
 // reviewIfDue reviews verdicts if that was not done lately.
@@ -230,10 +230,13 @@
 
 // keepSuspects remembers the parts whose counts other gateways need: convicted ones, and those
 // that were there in the same crashes, before all others.
-func (s *Set) keepSuspects(suspects []*suspect) {
+func (s *Set) keepSuspects(suspects []*suspect, now time.Time) {
 	s.suspects = s.suspects[:0]
 	for _, p := range suspects {
 		p.isRival = slices.ContainsFunc(suspects, func(c *suspect) bool { return c.isConvicted && c != p && p.servers.includes(c.servers) })
+		if p.isRival && !p.isKept {
+			s.noteChange(p.entry, now)
+		}
 	}
 	for _, first := range []bool{true, false} {
 		for _, p := range suspects {
--- a/internal/gateway/quarantiner/keep.go
+++ b/internal/gateway/quarantiner/keep.go
@@ -19,14 +19,15 @@
 	keptTTL = time.Second
 )
 
-// isWorthKeeping reports whether the losses must outlive all gateways. They are kept on when
-// they turn out not to be the fault of the request, so that this outlives them, too.
+// isWorthKeeping reports whether the losses must outlive all gateways: those that block, and those
+// of a part that may turn out to be to blame in place of a blocked one. They are kept on when they
+// turn out not to be the fault of the request, so that this outlives them, too.
 func (e *entry) isWorthKeeping(now time.Time) bool {
 	switch {
 	case e.isKept:
 		return true
 	case e.position > 0:
-		return e.isConvicted(now)
+		return e.isRival || e.isConvicted(now)
 	}
 	return len(e.losses) >= minKeptCrashes && e.countCrashes(now) >= minKeptCrashes
 }
--- a/internal/gateway/quarantiner/keep_test.go
+++ b/internal/gateway/quarantiner/keep_test.go
@@ -56,6 +56,31 @@
 	})
 }
 
+// TestWrongVerdictIsReviewedAfterTheEndOfAllGateways guards against a sound part that stays blocked
+// because the part that is to blame is forgotten, and no request with it reaches a server any more.
+func TestWrongVerdictIsReviewedAfterTheEndOfAllGateways(t *testing.T) {
+	forPromptOrders(t, func(c *qt.C, deadly, sound []uint64) {
+		l := &fleetLoad{sets: newSets(4), now: start}
+		l.sendSound(20, []int{0}, 3)
+		for range minPartCrashes + 1 {
+			l.sendDeadly(0, deadly...)
+		}
+		kept := l.sets[0].GetKept(l.now)
+		l.sets = newSets(4)
+		for i, s := range l.sets {
+			s.observer = uint64(200 + i)
+			s.MergeKept(kept, l.now)
+		}
+		for range 12 {
+			l.sendSound(1, []int{1}, sound...)
+			l.sendDeadly(0, deadly...)
+			l.now = l.now.Add(reviewInterval)
+			syncAll(l.sets, l.now)
+		}
+		l.checkVerdict(c, sound...)
+	})
+}
+
 // TestKeptLossesIncludeWhatFreesARequest guards against a sound request that is blocked again
 // after all gateways have ended.
 func TestKeptLossesIncludeWhatFreesARequest(t *testing.T) {
