subscriber: a gateway that starts asks sidecars at once for kept losses

Cause: a gateway learned what sidecars keep from the first load on their streams. These were opened up to 0.4 s after the servers were known, a sidecar whose engine was away sent no load, and one machine without power kept a gateway waiting for its dial.

Change: streams are opened when the servers or the catalog change, and a query apart from the streams asks for the kept losses. After the first answer the other sidecars have 100 ms more.

Evidence: TestSidecarsAreAskedOnceServersAreKnown failed before, and so did TestGatewayRecoversLossesFromSidecar with a dead engine (the first form waited for a load).

--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -42,13 +42,16 @@
 	servers  []lister.Server
 	isListed bool
 	followed map[netip.AddrPort]*followed
+	// answeredAt is when the first sidecar told which losses it keeps, zero before.
+	answeredAt time.Time
+	// changed has a value if the list or the catalog has changed since Run looked at them.
+	changed chan struct{}
 }
 
 // followed is an engine whose sidecar has a stream.
 type followed struct {
 	cancel context.CancelFunc
-	// isAsked is set once the sidecar has sent what it keeps, or an attempt to reach it has
-	// failed.
+	// isAsked is set once the sidecar has told which losses it keeps, or has failed to.
 	isAsked bool
 }
 
@@ -57,44 +60,28 @@
 // gateways that a sidecar reports. isTeller reports whether this gateway tells a sidecar of
 // its service's engines, which some of the gateways do.
 func New(own netip.AddrPort, port uint16, pool *connector.Pool, catalog *holder.Holder, p *placer.Placer, losses *quarantiner.Set, onGateways func([]string), isTeller func(netip.AddrPort) bool) *Subscriber {
-	return &Subscriber{
+	s := &Subscriber{
 		own: own, port: port, pool: pool, catalog: catalog, placer: p, losses: losses, onGateways: onGateways, isTeller: isTeller,
-		followed: make(map[netip.AddrPort]*followed),
+		followed: make(map[netip.AddrPort]*followed), changed: make(chan struct{}, 1),
 	}
+	catalog.OnChange(func(*holder.Catalog) { s.announceChange() })
+	return s
 }
 
-// SetServers replaces the list of backend servers in use.
-func (s *Subscriber) SetServers(all []lister.Server) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.servers, s.isListed = all, true
-}
-
-// IsAsked reports whether all sidecars have sent the losses that they keep, or could not be
-// reached.
-func (s *Subscriber) IsAsked() bool {
-	c := s.catalog.Get()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c == nil || !s.isListed {
-		return false
+// announceChange lets Run look at the list and the catalog now.
+func (s *Subscriber) announceChange() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
 	}
-	for _, srv := range s.servers {
-		f := s.followed[srv.Addr]
-		if isEngine(c, srv) && (f == nil || !f.isAsked) {
-			return false
-		}
-	}
-	return true
 }
 
-// setAsked records that a sidecar has sent what it keeps, or that this has failed.
-func (s *Subscriber) setAsked(engine netip.AddrPort) {
+// SetServers replaces the list of backend servers in use.
+func (s *Subscriber) SetServers(all []lister.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if f := s.followed[engine]; f != nil {
-		f.isAsked = true
-	}
+	s.servers, s.isListed = all, true
+	s.announceChange()
 }
 
 func isEngine(c *holder.Catalog, srv lister.Server) bool {
@@ -108,7 +95,7 @@
 	defer wg.Wait()
 	for ctx.Err() == nil {
 		s.update(ctx, &wg)
-		sleeper.Sleep(ctx, redialInterval)
+		sleeper.SleepOrWake(ctx, redialInterval, s.changed)
 	}
 }
 
@@ -144,13 +131,13 @@
 // follow keeps a stream to one sidecar, and reconnects, until ctx ends.
 func (s *Subscriber) follow(ctx context.Context, engine netip.AddrPort, service string) {
 	sidecar := netip.AddrPortFrom(engine.Addr(), s.port)
+	s.learnKept(ctx, sidecar, engine)
 	unreachable := false
 	for ctx.Err() == nil {
 		err := s.stream(ctx, sidecar, engine, service, &unreachable)
 		if ctx.Err() != nil {
 			return
 		}
-		s.setAsked(engine)
 		if !unreachable {
 			log.Info("connection to sidecar lost", "event", "peer_lost", "peer", sidecar, "error", err)
 			unreachable = true
@@ -183,7 +170,6 @@
 			*unreachable = false
 		}
 		kept.merge(load.GetKeptFingerprint(), load.GetKeptLosses(), sidecar.String(), time.Now())
-		s.setAsked(engine)
 		s.applyLoad(load, engine, time.Now())
 	}
 }
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -72,7 +72,7 @@
 	// servers are known. It exceeds the dial of a sidecar that answers. recoveryInterval is the
 	// pause between two looks for them.
 	recoveryTimeout  = 1500 * time.Millisecond
-	recoveryInterval = 50 * time.Millisecond
+	recoveryInterval = 10 * time.Millisecond
 	// cleanupInterval is the time between two removals of lapsed servers and idle
 	// connections.
 	cleanupInterval = 500 * time.Millisecond
@@ -320,7 +320,7 @@
 		if known.IsZero() {
 			known = now
 		}
-		isRead, isAsked := g.archiver.IsRead(), g.subscriber.IsAsked()
+		isRead, isAsked := g.archiver.IsRead(), g.subscriber.IsAsked(now)
 		if isRead && isAsked || now.Sub(known) > recoveryTimeout {
 			log.Info("kept losses recovered", "event", "kept", "archive_read", isRead, "sidecars_asked", isAsked)
 			g.quarantine.SetRecovered()
--- a/internal/process/launcher/sidecar.go
+++ b/internal/process/launcher/sidecar.go
@@ -79,6 +79,8 @@
 	switch k := open.GetKind().(type) {
 	case *encoder.Open_EngineWatch:
 		err = s.publisher.Serve(ctx, peer.GetInstance(), st)
+	case *encoder.Open_KeptQuery:
+		err = s.publisher.ServeKept(st)
 	case *encoder.Open_EngineQuery:
 		s.balancer.RecordLeaderRead(int(k.EngineQuery.GetLeaderRank()), k.EngineQuery.GetGroup(), time.Now())
 		err = s.messenger.Serve(ctx, open, st)
--- a/internal/process/sleeper/sleeper.go
+++ b/internal/process/sleeper/sleeper.go
@@ -9,8 +9,8 @@
 // Sleep waits until d has passed or ctx ends.
 func Sleep(ctx context.Context, d time.Duration) { SleepOrWake(ctx, d, nil) }
 
-// SleepOrWake waits until d has passed, wake is closed or ctx ends. It reports whether wake has
-// ended the wait.
+// SleepOrWake waits until d has passed, wake has a value or is closed, or ctx ends. It reports
+// whether wake has ended the wait.
 func SleepOrWake(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	if d <= 0 {
 		return false
