subscriber: keep losses in the own zone, and send only what has changed

Operators would have seen: after a cut of a zone most of the bytes between zones were losses for sidecars to keep.

Cause: each change sent all kept losses, up to 128 requests, to the sidecars of all zones, and a cut makes hundreds of changes. Where more were kept, two sides never agreed on which 128, and sent them again.

Change: a gateway sends to the sidecars of its own zone, to all if there is none, and only what has changed on that stream. Gateways of all zones know the same. Sidecars no longer send losses unasked. Changes accumulate for 100 ms, those for the archive for 250 ms.

--- a/internal/fleet/archiver/archiver.go
+++ b/internal/fleet/archiver/archiver.go
@@ -55,8 +55,9 @@
 	// callTimeout bounds a call. The store answers in milliseconds, and in a quarter of a second
 	// while it is slow.
 	callTimeout = 1500 * time.Millisecond
-	// batchInterval is the pause after a change, in which further changes accumulate.
-	batchInterval = 20 * time.Millisecond
+	// batchInterval is the pause after a change, in which further changes accumulate. A zone that is
+	// cut off loses hundreds of requests within a second, at all gateways.
+	batchInterval = 250 * time.Millisecond
 	// minDelay and maxDelay bound the time after which a gateway archives what it learned from
 	// another one, which archives at once what it observed itself.
 	minDelay = time.Second
--- a/internal/fleet/subscriber/keep.go
+++ b/internal/fleet/subscriber/keep.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"siskinfall/internal/catalog/holder"
+	"siskinfall/internal/fleet/lister"
 	"siskinfall/internal/gateway/quarantiner"
 	"siskinfall/internal/wire/connector"
 	"siskinfall/internal/wire/encoder"
@@ -15,12 +17,9 @@
 
 const (
 	// keptBatchInterval is the pause after a change of the kept losses, in which further changes
-	// accumulate: a server that ends is lost under several requests.
-	keptBatchInterval = 20 * time.Millisecond
-	// keptGrace is how long a sidecar waits for a gateway that knows less to learn of a change
-	// from other gateways, which all sidecars of a large fleet would tell it otherwise. A gateway
-	// says every updateInterval what it knows.
-	keptGrace = 2 * updateInterval
+	// accumulate: a server that ends is lost under several requests, and a zone that is cut off
+	// under hundreds.
+	keptBatchInterval = 100 * time.Millisecond
 	// keptQueryTimeout bounds a query. A sidecar answers in milliseconds, whatever its engine does.
 	keptQueryTimeout = time.Second
 	// stragglerTime is how long after the first answer to a query a gateway waits for those of other
@@ -39,7 +38,7 @@
 
 // learnKept asks a sidecar for the losses that it keeps, as long as this gateway may lack some.
 func (s *Subscriber) learnKept(ctx context.Context, sidecar, engine netip.AddrPort) {
-	if !s.losses.IsRecovered() {
+	if s.isKeeper(engine) && !s.losses.IsRecovered() {
 		ctx, cancel := context.WithTimeout(ctx, keptQueryTimeout)
 		defer cancel()
 		kept := &encoder.KeptLosses{}
@@ -54,8 +53,8 @@
 	s.setAsked(engine)
 }
 
-// IsAsked reports whether the sidecars have told which losses they keep: all have or have failed
-// to, or some have and the others are late.
+// IsAsked reports whether the sidecars that are near have told which losses they keep: all have or
+// have failed to, or some have and the others are late.
 func (s *Subscriber) IsAsked(now time.Time) bool {
 	c := s.catalog.Get()
 	s.mu.Lock()
@@ -68,13 +67,31 @@
 	}
 	for _, srv := range s.servers {
 		f := s.followed[srv.Addr]
-		if isEngine(c, srv) && (f == nil || !f.isAsked) {
+		if s.isNear(c, srv) && (f == nil || !f.isAsked) {
 			return false
 		}
 	}
 	return true
 }
 
+// isNear reports whether a server is an engine whose sidecar keeps losses for this gateway: those of
+// the own availability zone, or all if it has none. Gateways of all zones tell each other of the
+// losses, so that what must outlive them need not cross zones. s.mu must be held.
+func (s *Subscriber) isNear(c *holder.Catalog, srv lister.Server) bool {
+	if !isEngine(c, srv) {
+		return false
+	}
+	return srv.Zone == s.zone || !slices.ContainsFunc(s.servers, func(other lister.Server) bool { return other.Zone == s.zone && isEngine(c, other) })
+}
+
+// isKeeper reports whether the sidecar of an engine keeps losses for this gateway.
+func (s *Subscriber) isKeeper(engine netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.followed[engine]
+	return f != nil && f.isNear
+}
+
 // setAnswered records that a sidecar has told which losses it keeps.
 func (s *Subscriber) setAnswered(now time.Time) {
 	s.mu.Lock()
@@ -93,59 +110,31 @@
 	}
 }
 
-// keptFilter exchanges, on one stream between a gateway and a sidecar, the losses that must
-// outlive all gateways. Both sides send their fingerprint with each message, and the losses only
-// while the fingerprints differ. It is safe for concurrent use.
+// keptFilter selects the kept losses that have changed since they were sent on one stream from a
+// gateway to a sidecar.
 type keptFilter struct {
 	losses *quarantiner.Set
-	// grace is how long the fingerprints differ before the losses are sent.
-	grace time.Duration
-	mu    sync.Mutex
-	// theirs is the latest fingerprint of the other side, 0 before the first. differsSince is
-	// when it was first seen to differ, zero while it does not.
-	theirs       uint64
-	differsSince time.Time
-	// sent is the fingerprint of the losses that were sent last, at sentAt.
-	sent   uint64
-	sentAt time.Time
+	// sent has the fingerprints of what was sent, by digest.
+	sent map[uint64]uint64
 }
 
-func newKeptFilter(losses *quarantiner.Set, grace time.Duration) *keptFilter {
-	return &keptFilter{losses: losses, grace: grace}
+func newKeptFilter(losses *quarantiner.Set) *keptFilter {
+	return &keptFilter{losses: losses, sent: make(map[uint64]uint64)}
 }
 
-// take returns the own fingerprint, and the losses if they have to be sent now. It records them
-// as sent.
-func (f *keptFilter) take(now time.Time) (uint64, []*encoder.LostServers) {
-	own := f.losses.GetKeptFingerprint(now)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.isDue(own, now) {
-		return own, nil
-	}
-	f.sent, f.sentAt = own, now
-	return own, quarantiner.EncodeRecords(f.losses.GetKept(now), now)
-}
-
-// isDue reports whether losses with a fingerprint have to be sent. The other side takes a moment
-// to say that it has them.
-func (f *keptFilter) isDue(own uint64, now time.Time) bool {
-	if own == 0 || own == f.theirs {
-		f.differsSince = time.Time{}
-		return false
-	}
-	if f.differsSince.IsZero() {
-		f.differsSince = now
+// take returns the losses that have to be sent now, and records them as sent.
+func (f *keptFilter) take(now time.Time) []*encoder.LostServers {
+	var changed []quarantiner.Record
+	sent := make(map[uint64]uint64)
+	for _, r := range f.losses.GetKept(now) {
+		fingerprint := r.Fingerprint()
+		sent[r.Digest] = fingerprint
+		if f.sent[r.Digest] != fingerprint {
+			changed = append(changed, r)
+		}
 	}
-	return now.Sub(f.differsSince) >= f.grace && (own != f.sent || now.Sub(f.sentAt) >= resendInterval)
-}
-
-// merge adds the losses of the other side.
-func (f *keptFilter) merge(fingerprint uint64, losses []*encoder.LostServers, peer string, now time.Time) {
-	f.mu.Lock()
-	f.theirs = fingerprint
-	f.mu.Unlock()
-	mergeKept(f.losses, losses, peer, now)
+	f.sent = sent
+	return quarantiner.EncodeRecords(changed, now)
 }
 
 // mergeKept adds losses that a peer keeps.
--- a/internal/fleet/subscriber/publisher.go
+++ b/internal/fleet/subscriber/publisher.go
@@ -184,10 +184,9 @@
 func (p *Publisher) Serve(ctx context.Context, gateway string, s *connector.Stream) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	kept := newKeptFilter(p.losses, keptGrace)
 	go func() {
 		defer cancel()
-		p.receive(gateway, s, kept)
+		p.receive(gateway, s)
 	}()
 	var sent *encoder.EngineLoad
 	var sentAt time.Time
@@ -198,9 +197,7 @@
 			if err := s.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 				return wrapper.At("tell_load", gateway, err)
 			}
-			m := withGateways(load, gateways.take(load.GetGateways(), time.Now()))
-			m.KeptFingerprint, m.KeptLosses = kept.take(time.Now())
-			if err := s.Send(m); err != nil {
+			if err := s.Send(withGateways(load, gateways.take(load.GetGateways(), time.Now()))); err != nil {
 				return err
 			}
 			sent, sentAt = load, time.Now()
@@ -234,7 +231,7 @@
 }
 
 // receive applies the updates of one gateway until the stream ends.
-func (p *Publisher) receive(gateway string, s *connector.Stream, kept *keptFilter) {
+func (p *Publisher) receive(gateway string, s *connector.Stream) {
 	for {
 		if err := s.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
 			return
@@ -244,7 +241,7 @@
 			log.Info("connection to gateway lost", "event", "peer_lost", "peer", gateway, "error", err)
 			return
 		}
-		kept.merge(update.GetKeptFingerprint(), update.GetKeptLosses(), gateway, time.Now())
+		mergeKept(p.losses, update.GetKeptLosses(), gateway, time.Now())
 		p.applyUpdate(update, time.Now())
 	}
 }
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -26,7 +26,9 @@
 // Subscriber is the gateway's side of the streams to sidecars, with one goroutine for each.
 // It is safe for concurrent use.
 type Subscriber struct {
-	own     netip.AddrPort
+	own netip.AddrPort
+	// zone is the own availability zone.
+	zone    string
 	port    uint16
 	pool    *connector.Pool
 	catalog *holder.Holder
@@ -53,15 +55,17 @@
 	cancel context.CancelFunc
 	// isAsked is set once the sidecar has told which losses it keeps, or has failed to.
 	isAsked bool
+	// isNear is set if the sidecar keeps losses for this gateway.
+	isNear bool
 }
 
-// New returns a Subscriber. own is the address of this gateway's listener for peers, and
-// port the port on which every sidecar listens. onGateways receives the addresses of
+// New returns a Subscriber. own is the address of this gateway's listener for peers, zone its
+// availability zone, and port the port on which every sidecar listens. onGateways receives the addresses of
 // gateways that a sidecar reports. isTeller reports whether this gateway tells a sidecar of
 // its service's engines, which some of the gateways do.
-func New(own netip.AddrPort, port uint16, pool *connector.Pool, catalog *holder.Holder, p *placer.Placer, losses *quarantiner.Set, onGateways func([]string), isTeller func(netip.AddrPort) bool) *Subscriber {
+func New(own netip.AddrPort, zone string, port uint16, pool *connector.Pool, catalog *holder.Holder, p *placer.Placer, losses *quarantiner.Set, onGateways func([]string), isTeller func(netip.AddrPort) bool) *Subscriber {
 	s := &Subscriber{
-		own: own, port: port, pool: pool, catalog: catalog, placer: p, losses: losses, onGateways: onGateways, isTeller: isTeller,
+		own: own, zone: zone, port: port, pool: pool, catalog: catalog, placer: p, losses: losses, onGateways: onGateways, isTeller: isTeller,
 		followed: make(map[netip.AddrPort]*followed), changed: make(chan struct{}, 1),
 	}
 	catalog.OnChange(func(*holder.Catalog) { s.announceChange() })
@@ -113,11 +117,12 @@
 			continue
 		}
 		present[srv.Addr] = true
-		if s.followed[srv.Addr] != nil {
+		if f := s.followed[srv.Addr]; f != nil {
+			f.isNear = s.isNear(c, srv)
 			continue
 		}
 		followCtx, cancel := context.WithCancel(ctx)
-		s.followed[srv.Addr] = &followed{cancel: cancel}
+		s.followed[srv.Addr] = &followed{cancel: cancel, isNear: s.isNear(c, srv)}
 		wg.Go(func() { s.follow(followCtx, srv.Addr, srv.Service) })
 	}
 	for addr, f := range s.followed {
@@ -155,8 +160,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	context.AfterFunc(ctx, func() { _ = st.Close() })
-	kept := newKeptFilter(s.losses, 0)
-	go s.sendUpdates(ctx, st, sidecar, service, kept)
+	go s.sendUpdates(ctx, st, sidecar, engine, service)
 	for {
 		if err := st.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
 			return err
@@ -169,7 +173,6 @@
 			log.Info("connected to sidecar", "event", "peer_regained", "peer", sidecar)
 			*unreachable = false
 		}
-		kept.merge(load.GetKeptFingerprint(), load.GetKeptLosses(), sidecar.String(), time.Now())
 		s.applyLoad(load, engine, time.Now())
 	}
 }
@@ -183,13 +186,14 @@
 	s.onGateways(load.GetGateways())
 }
 
-// sendUpdates sends updates to a sidecar until ctx ends or a send fails. A gateway that tells the
-// sidecar does so at once if the kept losses change.
-func (s *Subscriber) sendUpdates(ctx context.Context, st *connector.Stream, sidecar netip.AddrPort, service string, kept *keptFilter) {
-	engineFilter := changeFilter{}
+// sendUpdates sends updates to a sidecar until ctx ends or a send fails, at once if losses change
+// that it keeps for this gateway.
+func (s *Subscriber) sendUpdates(ctx context.Context, st *connector.Stream, sidecar, engine netip.AddrPort, service string) {
+	engineFilter, kept := changeFilter{}, newKeptFilter(s.losses)
 	for ctx.Err() == nil {
 		var keptChanged <-chan struct{}
-		if s.isTeller(sidecar) {
+		isKeeper := s.isKeeper(engine)
+		if isKeeper {
 			keptChanged = s.losses.GetKeptChanged()
 		}
 		update, err := s.nextUpdate(sidecar, service, &engineFilter, time.Now())
@@ -197,10 +201,8 @@
 			log.Error("failed to encode update for sidecar", "event", "bad_news", "error", err)
 			return
 		}
-		if s.isTeller(sidecar) {
-			update.KeptFingerprint, update.KeptLosses = kept.take(time.Now())
-		} else {
-			update.KeptFingerprint = s.losses.GetKeptFingerprint(time.Now())
+		if isKeeper {
+			update.KeptLosses = kept.take(time.Now())
 		}
 		if st.SetWriteDeadline(time.Now().Add(sendTimeout)) != nil || st.Send(update) != nil {
 			_ = st.Close()
--- a/internal/gateway/quarantiner/keep.go
+++ b/internal/gateway/quarantiner/keep.go
@@ -15,8 +15,6 @@
 	minKeptCrashes = maxCrashes - 1
 	// maxKept bounds the requests and parts that are kept; the latest changed come first.
 	maxKept = 128
-	// keptTTL is how long a fingerprint of the kept losses is used, as losses expire.
-	keptTTL = time.Second
 )
 
 // isWorthKeeping reports whether the losses must outlive all gateways: those that block, and those
@@ -42,7 +40,6 @@
 }
 
 func (s *Set) announceKept() {
-	s.keptAt = time.Time{}
 	close(s.keptChanged)
 	s.keptChanged = make(chan struct{})
 }
@@ -61,19 +58,6 @@
 	return s.getKept(now)
 }
 
-// GetKeptFingerprint returns a hash of the kept losses, but for the ages. It is 0 without any.
-func (s *Set) GetKeptFingerprint(now time.Time) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Sub(s.keptAt) > keptTTL {
-		s.keptFingerprint, s.keptAt = 0, now
-		for _, r := range s.getKept(now) {
-			s.keptFingerprint += r.Fingerprint()
-		}
-	}
-	return s.keptFingerprint
-}
-
 // Fingerprint returns a hash of the losses, but for the ages.
 func (r *Record) Fingerprint() uint64 {
 	sum := uint64(0)
--- a/internal/gateway/quarantiner/quarantiner.go
+++ b/internal/gateway/quarantiner/quarantiner.go
@@ -91,11 +91,8 @@
 	// complete is set once all reachable gateways were asked for their losses at the start, and
 	// recovered once a complete one has answered, or what was kept outside them is known.
 	complete, recovered bool
-	// keptChanged is closed and replaced with each change of the kept losses. keptFingerprint
-	// is their hash at keptAt, zero after a change.
-	keptChanged     chan struct{}
-	keptFingerprint uint64
-	keptAt          time.Time
+	// keptChanged is closed and replaced with each change of the kept losses.
+	keptChanged chan struct{}
 }
 
 // Option configures a Set.
--- a/internal/process/launcher/gateway.go
+++ b/internal/process/launcher/gateway.go
@@ -140,7 +140,7 @@
 	}, gossiper.WithStoreState(g.watcher.IsUpToDate), gossiper.WithZones(g.zones), gossiper.WithSharers(func(others []netip.AddrPort, isHeard bool) {
 		shares.SetGateways(others, isHeard, time.Now())
 	}))
-	g.subscriber = subscriber.New(peersAddr, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.quarantine, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
+	g.subscriber = subscriber.New(peersAddr, cfg.Zone, cfg.Gateway.SidecarPort, g.peers, g.catalog, g.placer, g.quarantine, g.gossiper.AddGateways, func(sidecar netip.AddrPort) bool {
 		return g.gossiper.IsAmongFirst(tellersPerSidecar, sidecar.String(), time.Now())
 	})
 	g.servers.OnChange(g.subscriber.SetServers)
