subscriber: read the kept losses once for all sidecars

Each of a gateway's streams to sidecars read all kept losses and hashed them at each change, up to 128 requests and parts on a score of streams ten times a second.

The streams look at the same moments, so they now share what was read, with its hashes, until the next change and for 100 ms at most.

The new test fails if every stream reads again, and if a change isn't seen at once.

--- a/internal/fleet/subscriber/keep.go
+++ b/internal/fleet/subscriber/keep.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -110,27 +111,60 @@
 	}
 }
 
+// keptSnapshot shares the kept losses between the streams to all sidecars, each of which looks for
+// changes at the same moments. It is safe for concurrent use.
+type keptSnapshot struct {
+	losses *quarantiner.Set
+	mu     sync.Mutex
+	// changed is closed at the next change after the records were read, at readAt.
+	changed <-chan struct{}
+	readAt  time.Time
+	records []keptRecord
+}
+
+// keptRecord holds losses with their fingerprint.
+type keptRecord struct {
+	quarantiner.Record
+	fingerprint uint64
+}
+
+// get returns the kept losses, which must not be modified.
+func (k *keptSnapshot) get(now time.Time) []keptRecord {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// A change after this call is seen by the next one.
+	changed := k.losses.GetKeptChanged()
+	if changed == k.changed && now.Sub(k.readAt) < keptBatchInterval {
+		return k.records
+	}
+	kept := k.losses.GetKept(now)
+	k.changed, k.readAt, k.records = changed, now, make([]keptRecord, 0, len(kept))
+	for _, r := range kept {
+		k.records = append(k.records, keptRecord{Record: r, fingerprint: r.Fingerprint()})
+	}
+	return k.records
+}
+
 // keptFilter selects the kept losses that have changed since they were sent on one stream from a
 // gateway to a sidecar.
 type keptFilter struct {
-	losses *quarantiner.Set
+	kept *keptSnapshot
 	// sent has the fingerprints of what was sent, by digest.
 	sent map[uint64]uint64
 }
 
-func newKeptFilter(losses *quarantiner.Set) *keptFilter {
-	return &keptFilter{losses: losses, sent: make(map[uint64]uint64)}
+func newKeptFilter(kept *keptSnapshot) *keptFilter {
+	return &keptFilter{kept: kept, sent: make(map[uint64]uint64)}
 }
 
 // take returns the losses that have to be sent now, and records them as sent.
 func (f *keptFilter) take(now time.Time) []*encoder.LostServers {
 	var changed []quarantiner.Record
 	sent := make(map[uint64]uint64)
-	for _, r := range f.losses.GetKept(now) {
-		fingerprint := r.Fingerprint()
-		sent[r.Digest] = fingerprint
-		if f.sent[r.Digest] != fingerprint {
-			changed = append(changed, r)
+	for _, r := range f.kept.get(now) {
+		sent[r.Digest] = r.fingerprint
+		if f.sent[r.Digest] != r.fingerprint {
+			changed = append(changed, r.Record)
 		}
 	}
 	f.sent = sent
--- a/internal/fleet/subscriber/keep_test.go
+++ b/internal/fleet/subscriber/keep_test.go
@@ -25,7 +25,8 @@
 	c := qt.New(t)
 	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 	gateway := quarantiner.New(1)
-	f := newKeptFilter(gateway)
+	kept := &keptSnapshot{losses: gateway}
+	f := newKeptFilter(kept)
 	c.Assert(f.take(now), qt.HasLen, 0)
 	sent := 0
 	for digest := range uint64(50) {
@@ -40,7 +41,24 @@
 	c.Assert(freed, qt.HasLen, 1)
 	c.Assert(freed[0].GetDigest(), qt.Equals, uint64(7))
 	// A sidecar that starts again has another stream.
-	c.Assert(newKeptFilter(gateway).take(now), qt.HasLen, 50)
+	c.Assert(newKeptFilter(kept).take(now), qt.HasLen, 50)
+}
+
+// TestKeptLossesAreReadOnceForAllSidecars guards against a gateway that spends most of its processor
+// time on reading the same losses for each of its sidecars, and against one that sends old ones.
+func TestKeptLossesAreReadOnceForAllSidecars(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	gateway := quarantiner.New(1)
+	kept := &keptSnapshot{losses: gateway}
+	block(gateway, 1, now)
+	first := kept.get(now)
+	c.Assert(first, qt.HasLen, 1)
+	c.Assert(&kept.get(now.Add(keptBatchInterval - 1))[0], qt.Equals, &first[0])
+	block(gateway, 2, now)
+	c.Assert(kept.get(now), qt.HasLen, 2)
+	// Losses that no longer count are left out, though nothing else changes.
+	c.Assert(kept.get(now.Add(time.Hour)), qt.HasLen, 0)
 }
 
 // TestLossesAreKeptInOwnZone guards against losses that cross zones on each of the streams, though
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -34,6 +34,7 @@
 	catalog *holder.Holder
 	placer  *placer.Placer
 	losses  *quarantiner.Set
+	kept    *keptSnapshot
 	// onGateways receives the addresses of gateways that a sidecar reports.
 	onGateways func([]string)
 	// isTeller reports whether this gateway tells a sidecar of its service's engines.
@@ -65,7 +66,7 @@
 // its service's engines, which some of the gateways do.
 func New(own netip.AddrPort, zone string, port uint16, pool *connector.Pool, catalog *holder.Holder, p *placer.Placer, losses *quarantiner.Set, onGateways func([]string), isTeller func(netip.AddrPort) bool) *Subscriber {
 	s := &Subscriber{
-		own: own, zone: zone, port: port, pool: pool, catalog: catalog, placer: p, losses: losses, onGateways: onGateways, isTeller: isTeller,
+		own: own, zone: zone, port: port, pool: pool, catalog: catalog, placer: p, losses: losses, kept: &keptSnapshot{losses: losses}, onGateways: onGateways, isTeller: isTeller,
 		followed: make(map[netip.AddrPort]*followed), changed: make(chan struct{}, 1),
 	}
 	catalog.OnChange(func(*holder.Catalog) { s.announceChange() })
@@ -189,7 +190,7 @@
 // sendUpdates sends updates to a sidecar until ctx ends or a send fails, at once if losses change
 // that it keeps for this gateway.
 func (s *Subscriber) sendUpdates(ctx context.Context, st *connector.Stream, sidecar, engine netip.AddrPort, service string) {
-	engineFilter, kept := changeFilter{}, newKeptFilter(s.losses)
+	engineFilter, kept := changeFilter{}, newKeptFilter(s.kept)
 	for ctx.Err() == nil {
 		var keptChanged <-chan struct{}
 		isKeeper := s.isKeeper(engine)
